Serve a request from end to end through separate processes

Cause: nothing existed. The thin path comes first so that ownership and dispatch can be measured on it.

What stands: records of two schema versions, the operators' command, the daemon, stand-ins for platform and targets, a holder per service, entry by hertz, control calls by Connect.

Ruled out: hertz's client as it is.

--- /dev/null
+++ b/cmd/redwingtally-lab/main.go
@@ -0,0 +1,50 @@
+// Command redwingtally-lab drives load and experiments.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/redwingtally/redwingtally/lab/load"
+)
+
+type loadCommand struct {
+	Entries  []string      `long:"entry" required:"true" description:"entry address of a daemon; may be repeated"`
+	Duration time.Duration `long:"duration" default:"15s" description:"how long to send"`
+	Journals []string      `long:"journal" description:"journal of a target; may be repeated"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the callers' random choices"`
+}
+
+// Execute sends requests and prints what the callers saw; a broken promise is an error.
+func (c *loadCommand) Execute([]string) error {
+	cfg := load.Config{Duration: c.Duration, Kinds: load.Demo(), Seed: c.Seed, Journals: c.Journals}
+	for _, text := range c.Entries {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return err
+		}
+		cfg.Entries = append(cfg.Entries, a)
+	}
+	report, err := load.New(cfg).Run(context.Background())
+	report.Print(os.Stdout)
+	if err == nil && len(report.Violations) > 0 {
+		err = fmt.Errorf("%d promises were broken", len(report.Violations))
+	}
+	return err
+}
+
+func main() {
+	parser := flags.NewParser(nil, flags.Default)
+	if _, err := parser.AddCommand("load", "send requests to running daemons", "Sends requests of real shape to running daemons and checks the answers.", &loadCommand{}); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	if _, err := parser.Parse(); err != nil && !flags.WroteHelp(err) {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,50 @@
+package peer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/redwingtally/redwingtally/host"
+	"github.com/redwingtally/redwingtally/once"
+	"github.com/redwingtally/redwingtally/peer/controlpb"
+)
+
+func encodeHost(h host.Host) *controlpb.Host {
+	return &controlpb.Host{
+		Name:           h.Name,
+		DataCentre:     h.DataCentre,
+		ControlAddress: h.Control.String(),
+		ForwardAddress: h.Forward.String(),
+		Incarnation:    h.Incarnation,
+		Leaving:        h.Leaving,
+	}
+}
+
+func decodeHost(h *controlpb.Host) host.Host {
+	control, _ := netip.ParseAddrPort(h.GetControlAddress())
+	forward, _ := netip.ParseAddrPort(h.GetForwardAddress())
+	return host.Host{
+		Name:        h.GetName(),
+		DataCentre:  h.GetDataCentre(),
+		Control:     control,
+		Forward:     forward,
+		Incarnation: h.GetIncarnation(),
+		Leaving:     h.GetLeaving(),
+	}
+}
+
+func encodeEntries(entries []once.Entry) []*controlpb.RequestId {
+	out := make([]*controlpb.RequestId, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, &controlpb.RequestId{Id: e.ID, IssuedUnixMs: e.Issued.UnixMilli(), State: uint32(e.State)})
+	}
+	return out
+}
+
+func decodeEntries(ids []*controlpb.RequestId) []once.Entry {
+	out := make([]once.Entry, 0, len(ids))
+	for _, e := range ids {
+		out = append(out, once.Entry{ID: e.GetId(), Issued: time.UnixMilli(e.GetIssuedUnixMs()), State: once.State(e.GetState())})
+	}
+	return out
+}
--- /dev/null
+++ b/peer/service.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/redwingtally/redwingtally/grant"
+	"github.com/redwingtally/redwingtally/host"
+	"github.com/redwingtally/redwingtally/once"
+	"github.com/redwingtally/redwingtally/peer/controlpb"
+	"github.com/redwingtally/redwingtally/peer/controlpb/controlpbconnect"
+	"github.com/redwingtally/redwingtally/platform"
+)
+
+// A Service answers control calls by functions.
+type Service struct {
+	// Heartbeat takes a peer's heartbeat and returns the daemon itself and what it knows.
+	Heartbeat func(b Beat) (host.Host, Versions)
+	// Records returns the objects of a kind that changed after a version, and
+	// whether the daemon has learned any.
+	Records func(kind string, after platform.Version) ([]platform.Object, bool)
+	// Note keeps request ids.
+	Note func(n once.Note) bool
+	// Recall returns request ids.
+	Recall func(group string, term, noted grant.Term) (once.Recalled, bool)
+	// Handover takes a group.
+	Handover func(h Handover) bool
+}
+
+// Handler returns the path and the HTTP handler of s.
+func Handler(s Service) (string, http.Handler) {
+	return controlpbconnect.NewControlHandler(handler{s}, connect.WithReadMaxBytes(maxMessage))
+}
+
+type handler struct{ s Service }
+
+func (h handler) Heartbeat(_ context.Context, r *connect.Request[controlpb.HeartbeatRequest]) (*connect.Response[controlpb.HeartbeatResponse], error) {
+	b := Beat{Sender: decodeHost(r.Msg.GetSender()), Versions: Versions{
+		Records: platform.Version(r.Msg.GetRecordsVersion()),
+		Groups:  platform.Version(r.Msg.GetGroupsVersion()),
+	}}
+	if b.Sender.Name == "" || !b.Sender.Control.IsValid() {
+		return nil, connect.NewError(connect.CodeInvalidArgument, nil)
+	}
+	for _, g := range r.Msg.GetHoldings() {
+		b.Holdings = append(b.Holdings, host.Holding{Group: g.GetGroup(), Term: grant.Term(g.GetTerm())})
+	}
+	for _, a := range r.Msg.GetSetAsides() {
+		b.SetAsides = append(b.SetAsides, SetAside{Group: a.GetGroup(), Fingerprint: a.GetFingerprint(), Until: time.UnixMilli(a.GetUntilUnixMs())})
+	}
+	self, v := h.s.Heartbeat(b)
+	return connect.NewResponse(&controlpb.HeartbeatResponse{
+		Sender:         encodeHost(self),
+		RecordsVersion: uint64(v.Records),
+		GroupsVersion:  uint64(v.Groups),
+	}), nil
+}
+
+func (h handler) Records(_ context.Context, r *connect.Request[controlpb.RecordsRequest]) (*connect.Response[controlpb.RecordsResponse], error) {
+	objects, known := h.s.Records(r.Msg.GetKind(), platform.Version(r.Msg.GetAfter()))
+	out := &controlpb.RecordsResponse{Known: known}
+	for _, o := range objects {
+		out.Objects = append(out.Objects, &controlpb.Object{Kind: o.Kind, Name: o.Name, Version: uint64(o.Version), Deleted: o.Deleted, Value: o.Value})
+	}
+	return connect.NewResponse(out), nil
+}
+
+func (h handler) Note(_ context.Context, r *connect.Request[controlpb.NoteRequest]) (*connect.Response[controlpb.NoteResponse], error) {
+	accepted := h.s.Note(once.Note{
+		Group:    r.Msg.GetGroup(),
+		Term:     grant.Term(r.Msg.GetTerm()),
+		Entries:  decodeEntries(r.Msg.GetIds()),
+		Baseline: r.Msg.GetBaseline(),
+		Complete: time.UnixMilli(r.Msg.GetCompleteUnixMs()),
+	})
+	return connect.NewResponse(&controlpb.NoteResponse{Accepted: accepted}), nil
+}
+
+func (h handler) Recall(_ context.Context, r *connect.Request[controlpb.RecallRequest]) (*connect.Response[controlpb.RecallResponse], error) {
+	found, ok := h.s.Recall(r.Msg.GetGroup(), grant.Term(r.Msg.GetTerm()), grant.Term(r.Msg.GetNotedTerm()))
+	out := &controlpb.RecallResponse{Found: ok, Ids: encodeEntries(found.Entries), CompleteUnixMs: found.Complete.UnixMilli()}
+	return connect.NewResponse(out), nil
+}
+
+func (h handler) Handover(_ context.Context, r *connect.Request[controlpb.HandoverRequest]) (*connect.Response[controlpb.HandoverResponse], error) {
+	accepted := h.s.Handover(Handover{Group: r.Msg.GetGroup(), Term: grant.Term(r.Msg.GetTerm())})
+	return connect.NewResponse(&controlpb.HandoverResponse{Accepted: accepted}), nil
+}
--- /dev/null
+++ b/record/duration.go
@@ -0,0 +1,27 @@
+package record
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// A Duration is a time.Duration written as text, such as "250ms".
+type Duration struct {
+	time.Duration
+}
+
+// MarshalText returns the duration as text.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(d.String()), nil
+}
+
+// UnmarshalText parses text such as "250ms", or returns ErrMalformed.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return eris.Wrapf(ErrMalformed, "%q is not a duration such as 250ms", text)
+	}
+	d.Duration = v
+	return nil
+}
