Take repeatable requests back from lost targets and holders

Cause: a probe that counted only answered requests showed 14 ms for a frozen holder. Counting keys that had no answer to the end showed 2.5 s: requests in flight at a frozen target or daemon waited for their own deadline. Also a body without a length was taken for a stream and never sent again.

Ruled out: shorter deadlines. They punish slow work for a fault of others.

Change: an attempt is taken back, if its request may be repeated, when its target is lost, its shard has another owner, or its holder is lost. Health checks run where requests are dispatched, sooner for unchecked owners.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -135,6 +135,13 @@
 	return c.view.Alive(time.Now())
 }
 
+// IsAlive reports whether a daemon is believed alive.
+func (c *Cell) IsAlive(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.IsAlive(time.Now(), name)
+}
+
 // Holder returns the daemon that is believed to hold a service's group.
 func (c *Cell) Holder(service string, dataCentres []string) (host.Host, bool) {
 	c.mu.Lock()
--- a/control.go
+++ b/control.go
@@ -43,6 +43,7 @@
 
 func (c *control) handle(d *Daemon) {
 	p := &d.parts
+	c.listener = peer.CountListener(c.listener, d.countControl)
 	c.mux.Handle(peer.Handler(peer.Service{
 		Heartbeat: p.cell.Heartbeat,
 		Records:   p.cell.Records,
--- /dev/null
+++ b/e2e/rig_test.go
@@ -0,0 +1,256 @@
+// Package e2e tests whole systems: daemons and targets as separate processes
+// or in one, with the stand-in platform.
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/redwingtally/redwingtally"
+	"github.com/redwingtally/redwingtally/internal/standin"
+	"github.com/redwingtally/redwingtally/lane"
+	"github.com/redwingtally/redwingtally/operator"
+	"github.com/redwingtally/redwingtally/platform"
+	"github.com/redwingtally/redwingtally/record"
+	"github.com/redwingtally/redwingtally/settings"
+)
+
+// settleTime is how long a condition may take to come true in a test. It is no
+// measure of the system: it only ends a test that hangs.
+const settleTime = 20 * time.Second
+
+var centres = []string{"leicester", "derby", "nottingham", "coventry"}
+
+// freePort returns an address that was free a moment ago.
+func freePort(tb testing.TB) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(tb, err, qt.IsNil)
+	defer func() { _ = ln.Close() }()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// binaries builds the programs once for all tests.
+var binaries = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "redwingtally")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir+"/", "../cmd/...").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return dir, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, err := binaries(); err == nil {
+		_ = os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// process is a program that the test started.
+type process struct {
+	tb   testing.TB
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+func startProcess(tb testing.TB, name string, args ...string) *process {
+	dir, err := binaries()
+	qt.Assert(tb, err, qt.IsNil)
+	cmd := exec.Command(filepath.Join(dir, name), args...)
+	if os.Getenv("E2E_LOGS") != "" {
+		cmd.Stderr = os.Stderr
+	}
+	qt.Assert(tb, cmd.Start(), qt.IsNil)
+	p := &process{tb: tb, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(p.done)
+	}()
+	tb.Cleanup(p.kill)
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// system is a platform, targets and daemons.
+type system struct {
+	tb       testing.TB
+	platform *standin.Platform
+	op       *operator.Operator
+	hosts    []platform.Host
+	settings []settings.Settings
+	entries  []netip.AddrPort
+}
+
+func newSystem(tb testing.TB, daemons int) *system {
+	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{HostLag: time.Millisecond})
+	qt.Assert(tb, err, qt.IsNil)
+	tb.Cleanup(func() { stop(p.Stop) })
+	s := &system{tb: tb, platform: p, op: operator.New(platform.New(p.Address()), redwingtally.Records())}
+	for i := range daemons {
+		name := fmt.Sprintf("entry-%d", i+1)
+		set := settings.Settings{
+			Host:            name,
+			DataCentre:      centres[i%len(centres)],
+			EntryAddress:    freePort(tb),
+			ForwardAddress:  freePort(tb),
+			ControlAddress:  freePort(tb),
+			PlatformAddress: p.Address(),
+			ShutdownTimeout: settleTime,
+			LogLevel:        "info",
+		}
+		s.settings = append(s.settings, set)
+		s.entries = append(s.entries, set.EntryAddress)
+		s.hosts = append(s.hosts, platform.Host{Name: name, DataCentre: set.DataCentre, Control: set.ControlAddress, State: platform.HostLive})
+	}
+	p.SetHosts(s.hosts)
+	return s
+}
+
+func stop(f func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_ = f(ctx)
+}
+
+// daemon starts daemon i in the test's own process.
+func (s *system) daemon(i int, opts ...redwingtally.Option) *redwingtally.Daemon {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	if os.Getenv("E2E_LOGS") != "" {
+		log = slog.Default()
+	}
+	d, err := redwingtally.New(s.settings[i], append([]redwingtally.Option{redwingtally.WithLogger(log)}, opts...)...)
+	qt.Assert(s.tb, err, qt.IsNil)
+	qt.Assert(s.tb, d.Start(context.Background()), qt.IsNil)
+	s.tb.Cleanup(func() { stop(d.Shutdown) })
+	return d
+}
+
+// daemonProcess starts daemon i as a process.
+func (s *system) daemonProcess(i int) *process {
+	set := s.settings[i]
+	file := filepath.Join(s.tb.TempDir(), "daemon.yaml")
+	text := fmt.Sprintf("host: %s\ndata_centre: %s\nentry_address: %s\nforward_address: %s\ncontrol_address: %s\nplatform_address: %s\n",
+		set.Host, set.DataCentre, set.EntryAddress, set.ForwardAddress, set.ControlAddress, set.PlatformAddress)
+	qt.Assert(s.tb, os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
+	return startProcess(s.tb, "redwingtallyd", "--settings", file)
+}
+
+// apply puts records in force in the store.
+func (s *system) apply(text string) []operator.Result {
+	records, err := record.Split("test", []byte(text))
+	qt.Assert(s.tb, err, qt.IsNil)
+	results, err := s.op.Apply(context.Background(), records)
+	qt.Assert(s.tb, err, qt.IsNil)
+	return results
+}
+
+// eventually waits until f holds.
+func eventually(tb testing.TB, what string, f func() bool) {
+	tb.Helper()
+	for end := time.Now().Add(settleTime); time.Now().Before(end); {
+		if f() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond) // polls a condition of running processes
+	}
+	tb.Fatalf("it never came true that %s", what)
+}
+
+// status reads the status of daemon i.
+func (s *system) status(i int) (redwingtally.Status, bool) {
+	var st redwingtally.Status
+	data, err := operator.Read(context.Background(), s.settings[i].ControlAddress, "/status")
+	return st, err == nil && json.Unmarshal(data, &st) == nil
+}
+
+// holderOf returns the daemon that holds a service with all its shards owned, or -1.
+func (s *system) holderOf(service string) int {
+	for i := range s.settings {
+		st, ok := s.status(i)
+		if !ok {
+			continue
+		}
+		for _, g := range st.Groups {
+			if g.Service == service && g.Unowned == 0 {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+func (s *system) awaitHolder(service string) int {
+	holder := -1
+	eventually(s.tb, "somebody holds "+service, func() bool {
+		holder = s.holderOf(service)
+		return holder >= 0
+	})
+	return holder
+}
+
+// call sends a small request to an entry.
+func call(entry netip.AddrPort, method, path string, timeout time.Duration, headers ...[2]string) (lane.Reply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	p := lane.NewPool(entry, 0)
+	return p.Call(ctx, lane.Call{Method: method, Path: path, Headers: headers})
+}
+
+// targets of a service, as records.
+func serviceRecord(name, division string, addresses []netip.AddrPort) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "kind: service\nname: %s\nschema_version: 2\nspec:\n  slots_per_target: 2\n  connections_per_target: 50\n%s  targets:\n", name, division)
+	for i, a := range addresses {
+		fmt.Fprintf(&b, "    - {name: %s-%d, address: \"%s\", data_centre: %s}\n", name, i+1, a, centres[i%len(centres)])
+	}
+	return b.String()
+}
+
+const (
+	checked   = "  division: {shards: 32, checks_grants: true}\n"
+	unchecked = "  division: {shards: 32, checks_grants: false}\n"
+	undivided = ""
+)
+
+// policyRecord has routes for every kind of request in the tests.
+func policyRecord(name string) string {
+	return "---\nkind: policy\nname: " + name + `
+schema_version: 2
+spec:
+  retry: {ratio: 0.1, attempts: 3}
+  classes:
+    - {name: deposits, rank: 0, queue_limit: 500, deadline: 10s, ageing: 1s}
+    - {name: pages, rank: 1, queue_limit: 500, deadline: 5s, ageing: 1s}
+    - {name: bundles, rank: 2, queue_limit: 500, deadline: 60s, ageing: 2s}
+  routes:
+    - {method: POST, prefix: /deposits, class: deposits, once_only: true}
+    - {method: GET, prefix: /pages, class: pages, repeatable: true}
+    - {prefix: /bundles, class: bundles, long: true}
+    - {prefix: /, class: pages}
+`
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,6 +57,8 @@
 	Self func() host.Host
 	// Holder returns the daemon that is believed to hold a service's group.
 	Holder func(service string, dataCentres []string) (host.Host, bool)
+	// Alive reports whether a daemon is believed alive.
+	Alive func(name string) bool
 	// Lost notes that a daemon refused a connection.
 	Lost func(name string)
 	// Group returns the daemon's own part in a service.
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -75,14 +76,20 @@
 		protocol.ReleaseResponse(resp)
 	}
 	e.build(c, r, req, h)
-	if err := l.Do(ctx, req, resp); err != nil {
+	pass, cancel := context.WithCancel(ctx)
+	w := e.watch(r, h, cancel)
+	err = l.Do(pass, req, resp)
+	w.stop()
+	if err != nil {
+		cancel()
 		done()
-		return e.failed(r, h, err)
+		return e.failed(r, h, err, w.lost.Load())
 	}
 	if again(resp) && r.in.Body.Replayable() {
 		if l.Finish(resp) {
 			pool.Put(l)
 		}
+		cancel()
 		done()
 		return outcome{again: true, refusal: unreachable()}
 	}
@@ -90,6 +97,7 @@
 		// The second pass was refused, but the first may have run.
 		code := refusal.Code(resp.Header.Peek(target.ReasonHeader))
 		l.Close()
+		cancel()
 		done()
 		return outcome{refusal: refusal.Refusal{Status: 502, Code: code, Message: "an earlier pass has an unknown outcome", NotRun: refusal.NotRunUnknown}}
 	}
@@ -99,12 +107,57 @@
 		} else if l.Finish(resp) {
 			pool.Put(l)
 		}
+		cancel()
 		done()
 		release()
 	})
 	return outcome{answered: true}
 }
 
+// lossCheck is how often a waiting request looks whether its holder is still alive.
+const lossCheck = 100 * time.Millisecond
+
+// passWatch looks after a request that was passed to another daemon. One that
+// may be repeated is taken back when that daemon is lost, even if its
+// connection says nothing.
+type passWatch struct {
+	lost  atomic.Bool
+	ended atomic.Bool
+	timer *time.Timer
+}
+
+func (e *Entry) watch(r *request, h host.Host, cancel context.CancelFunc) *passWatch {
+	w := &passWatch{}
+	if !r.repeatable || !r.in.Body.Replayable() {
+		return w
+	}
+	var check func()
+	check = func() {
+		switch {
+		case w.ended.Load():
+		case e.d.Alive(h.Name):
+			w.timer.Reset(lossCheck)
+		default:
+			w.lost.Store(true)
+			cancel()
+		}
+	}
+	ready := make(chan struct{})
+	w.timer = time.AfterFunc(lossCheck, func() {
+		<-ready
+		check()
+	})
+	close(ready)
+	return w
+}
+
+func (w *passWatch) stop() {
+	w.ended.Store(true)
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
 func unreachable() refusal.Refusal {
 	return refusal.Refusal{Status: 503, Code: refusal.CodeNoHolder, Message: "the daemon that holds the service cannot be reached", NotRun: refusal.NotRunTrue, RetryAfter: time.Second}
 }
@@ -133,11 +186,14 @@
 }
 
 // failed says what a failed pass means for the caller.
-func (e *Entry) failed(r *request, h host.Host, err error) outcome {
+func (e *Entry) failed(r *request, h host.Host, err error, lost bool) outcome {
 	unknown := refusal.Refusal{Status: 502, Code: refusal.CodeForwardFailed, Message: "the daemon that holds the service was lost", NotRun: refusal.NotRunUnknown}
 	switch {
 	case eris.Is(err, lane.ErrUnsent):
 		return outcome{again: true, refusal: unreachable()}
+	case lost:
+		r.mayHaveRun = true
+		return outcome{again: true, refusal: unknown}
 	case eris.Is(err, lane.ErrTimeout):
 		unknown.Status = 504
 		unknown.Code = refusal.CodeDeadline
--- a/holder/attempt.go
+++ b/holder/attempt.go
@@ -16,13 +16,6 @@
 	"github.com/redwingtally/redwingtally/target"
 )
 
-const (
-	// silenceFloor is the least time without an answer after which a connection is suspect.
-	silenceFloor = time.Second
-	// silenceFactor is how many times its expected time a request may take before its connection is suspect.
-	silenceFactor = 4
-)
-
 // permit returns the target of an assigned job if it may be sent there now.
 func (g *Group) permit(j *job, i int) (*target.Target, string, bool) {
 	g.mu.Lock()
@@ -59,14 +52,14 @@
 	resp := protocol.AcquireResponse()
 	g.build(c, j, req, t, term)
 	ctx, cancel := context.WithCancel(ctx)
-	watch := g.watchSilence(t, j, cancel)
+	w := g.watch(t, j, cancel)
 	a, err := t.Send(ctx, req, resp)
-	silent := watch.stop()
+	takenBack := g.unwatch(w)
 	if err != nil {
 		cancel()
 		protocol.ReleaseRequest(req)
 		protocol.ReleaseResponse(resp)
-		return g.failed(c, j, t, err, silent, end)
+		return g.failed(c, j, t, err, takenBack, end)
 	}
 	release := func() {
 		cancel()
@@ -129,8 +122,8 @@
 }
 
 // failed ends an attempt that brought no answer.
-func (g *Group) failed(c *app.RequestContext, j *job, t *target.Target, err error, silent bool, end func()) bool {
-	result, r := g.classify(j, t, err, silent)
+func (g *Group) failed(c *app.RequestContext, j *job, t *target.Target, err error, takenBack bool, end func()) bool {
+	result, r := g.classify(j, t, err, takenBack)
 	if r.NotRun != refusal.NotRunTrue {
 		j.mayHaveRun = true
 	}
@@ -145,9 +138,10 @@
 }
 
 // classify says what an error of a target means.
-func (g *Group) classify(j *job, t *target.Target, err error, silent bool) (dispatch.Result, refusal.Refusal) {
+func (g *Group) classify(j *job, t *target.Target, err error, takenBack bool) (dispatch.Result, refusal.Refusal) {
 	switch {
 	case eris.Is(err, target.ErrUnreachable):
+		g.checkSoon(t.Name)
 		return dispatch.ResultNotStarted, refusal.Refusal{Status: 503, Code: refusal.CodeUnreachable, Message: "the target cannot be reached", NotRun: refusal.NotRunTrue, RetryAfter: time.Second}
 	case eris.Is(err, target.ErrNotOwner):
 		g.mu.Lock()
@@ -156,8 +150,8 @@
 		return dispatch.ResultMoved, targetRefused()
 	case eris.Is(err, target.ErrNotRun):
 		return dispatch.ResultShed, targetRefused()
-	case silent:
-		return dispatch.ResultBroken, refusal.Refusal{Status: 502, Code: refusal.CodeOutcomeUnknown, Message: "the connection to the target went silent", NotRun: refusal.NotRunUnknown}
+	case takenBack:
+		return dispatch.ResultBroken, refusal.Refusal{Status: 502, Code: refusal.CodeOutcomeUnknown, Message: "the target was lost or its connection went silent", NotRun: refusal.NotRunUnknown}
 	case eris.Is(err, target.ErrDeadline):
 		t.Suspect()
 		return dispatch.ResultTimeout, refusal.Refusal{Status: 504, Code: refusal.CodeDeadline, Message: "the target did not answer in time", NotRun: refusal.NotRunUnknown}
--- a/holder/group.go
+++ b/holder/group.go
@@ -62,6 +62,7 @@
 	losses   int
 	recorded recorder
 	moving   map[int]bool
+	watches  map[*attemptWatch]struct{}
 
 	ids    idKeeper
 	wake   chan struct{}
@@ -79,6 +80,7 @@
 		log:     d.Log.With("part", "holder", "service", b.Name),
 		targets: map[string]*target.Target{},
 		health:  map[string]*healthState{},
+		watches: map[*attemptWatch]struct{}{},
 		wake:    make(chan struct{}, 1),
 		ended:   make(chan struct{}),
 	}
--- a/holder/health.go
+++ b/holder/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/redwingtally/redwingtally/dispatch"
+	"github.com/redwingtally/redwingtally/grant"
 	"github.com/redwingtally/redwingtally/service"
 	"github.com/redwingtally/redwingtally/target"
 )
@@ -12,10 +13,12 @@
 const (
 	// healthInterval is the time between two health checks of a target.
 	healthInterval = 500 * time.Millisecond
+	// uncheckedInterval is the same where health checks alone show that the owner of keys is lost.
+	uncheckedInterval = 150 * time.Millisecond
 	// lostInterval is the same for a target that failed its last check.
-	lostInterval = 150 * time.Millisecond
+	lostInterval = 75 * time.Millisecond
 	// healthTimeout bounds a health check.
-	healthTimeout = 300 * time.Millisecond
+	healthTimeout = 200 * time.Millisecond
 	// lostFailures is how many failed checks make a target lost.
 	lostFailures = 2
 )
@@ -35,14 +38,21 @@
 func (g *Group) checkHealth(ctx context.Context) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.holder.Phase() == grant.PhaseIdle && g.bundle.Service.Division != nil {
+		return
+	}
 	now := time.Now()
+	interval := healthInterval
+	if d := g.bundle.Service.Division; d != nil && !d.ChecksGrants {
+		interval = uncheckedInterval
+	}
 	for name, h := range g.health {
 		t, ok := g.targets[name]
 		if !ok || h.busy || now.Before(h.next) {
 			continue
 		}
 		h.busy = true
-		h.next = now.Add(healthInterval)
+		h.next = now.Add(interval)
 		g.submit(func() { g.check(ctx, t, h) })
 	}
 }
@@ -85,6 +95,17 @@
 	}
 	h.lost = true
 	g.core.TargetFailed(now, name)
+	g.takeBackLost()
+}
+
+// checkSoon has a target's health checked without delay, after a request could not reach it.
+func (g *Group) checkSoon(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if h, ok := g.health[name]; ok && !h.lost {
+		h.next = time.Time{}
+	}
+	g.poke()
 }
 
 // setTarget tells the dispatch core of a target's draining state.
--- a/holder/incoming.go
+++ b/holder/incoming.go
@@ -17,6 +17,9 @@
 // sent, so that it can be sent again. Greater bodies are streamed.
 const SmallBody = 16 * 1024
 
+// noLength is the length that hertz gives a request that has neither a length nor chunks.
+const noLength = -2
+
 // A Body is a request's body, which is streamed to the target.
 type Body struct {
 	stream io.Reader
@@ -29,7 +32,8 @@
 func NewBody(c *app.RequestContext) (*Body, error) {
 	size := c.Request.Header.ContentLength()
 	b := &Body{size: size}
-	if size == 0 {
+	if size == 0 || size == noLength {
+		b.size = 0
 		b.small = []byte{}
 		return b, nil
 	}
--- a/holder/record.go
+++ b/holder/record.go
@@ -10,7 +10,7 @@
 )
 
 // recordPause is the least time between two writes of a group's assignment.
-const recordPause = 250 * time.Millisecond
+const recordPause = 100 * time.Millisecond
 
 // recorder remembers what was last written to the group's object.
 type recorder struct {
--- a/holder/rounds.go
+++ b/holder/rounds.go
@@ -113,6 +113,7 @@
 	}
 	g.countUnserved(now)
 	g.core.Reassign(g.ownerIndex)
+	g.takeBackLost()
 	g.pump(now)
 }
 
--- a/host/view.go
+++ b/host/view.go
@@ -144,6 +144,12 @@
 	return !m.heard.IsZero() && now.Sub(m.heard) <= v.timing.Suspicion
 }
 
+// IsAlive reports whether a daemon is believed alive.
+func (v *View) IsAlive(now time.Time, name string) bool {
+	m, ok := v.members[name]
+	return name == v.self.Name || ok && v.alive(now, m)
+}
+
 // Lost marks a daemon as lost on better evidence than silence, such as a refused connection.
 func (v *View) Lost(name string) {
 	if m, ok := v.members[name]; ok {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -37,6 +37,10 @@
 	UnservedSeconds *prometheus.CounterVec
 	// StoreCalls counts calls of the platform by kind of call and result.
 	StoreCalls *prometheus.CounterVec
+	// ControlBytes counts bytes of control calls between daemons by direction.
+	ControlBytes *prometheus.CounterVec
+	// ControlMessages counts heartbeats by direction.
+	ControlMessages *prometheus.CounterVec
 	// SetAsides counts requests that were set aside.
 	SetAsides *prometheus.CounterVec
 	// SilentConnections counts connections that were found silent.
@@ -60,12 +64,14 @@
 		UnservedShards:    gauge("unserved_shards", "Shards without an owner.", "service"),
 		UnservedSeconds:   counter("unserved_seconds_total", "Sum over shards of the time without an owner.", "service"),
 		StoreCalls:        counter("store_calls_total", "Calls of the platform.", "call", "result"),
+		ControlBytes:      counter("control_bytes_total", "Bytes of control calls between daemons.", "direction"),
+		ControlMessages:   counter("control_heartbeats_total", "Heartbeats between daemons.", "direction"),
 		SetAsides:         counter("set_asides_total", "Requests that were set aside.", "service"),
 		SilentConnections: counter("silent_connections_total", "Connections that were found silent.", "service"),
 	}
 	s.registry.MustRegister(
 		s.Requests, s.QueueSeconds, s.ServiceSeconds, s.Retries, s.Queued, s.Imbalance, s.OwnershipChanges,
-		s.UnservedShards, s.UnservedSeconds, s.StoreCalls, s.SetAsides, s.SilentConnections,
+		s.UnservedShards, s.UnservedSeconds, s.StoreCalls, s.ControlBytes, s.ControlMessages, s.SetAsides, s.SilentConnections,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return s
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	clients := peer.NewClients()
+//	clients := peer.NewClients(count)
 //	reply, err := clients.Heartbeat(ctx, address, beat)
 //
 //	mux.Handle(peer.Handler(peer.Service{Heartbeat: ..., Records: ...}))
@@ -75,12 +75,12 @@
 	by   map[netip.AddrPort]controlpbconnect.ControlClient
 }
 
-// NewClients returns Clients without connections.
-func NewClients() *Clients {
+// NewClients returns Clients without connections, whose bytes are counted.
+func NewClients(count Counter) *Clients {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Clients{
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         countDial(dialer.DialContext, count),
 			MaxIdleConnsPerHost: maxIdle,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
--- a/redwingtally.go
+++ b/redwingtally.go
@@ -119,7 +119,7 @@
 	p.metrics = metric.New()
 	p.catalogue = catalogue.New(Records())
 	p.store = d.options.store
-	p.clients = peer.NewClients()
+	p.clients = peer.NewClients(d.countControl)
 	p.notes = once.NewNotes()
 	p.cell = cell.New(cell.Dependencies{
 		Log:       d.log,
@@ -155,6 +155,7 @@
 		Metrics:   p.metrics,
 		Self:      p.cell.Self,
 		Holder:    p.cell.Holder,
+		Alive:     p.cell.IsAlive,
 		Lost:      p.cell.Lost,
 		Group:     p.manager.Group,
 	})
@@ -164,6 +165,12 @@
 	})
 }
 
+// countControl counts bytes of control calls.
+func (d *Daemon) countControl(received, sent int) {
+	d.parts.metrics.ControlBytes.WithLabelValues("in").Add(float64(received))
+	d.parts.metrics.ControlBytes.WithLabelValues("out").Add(float64(sent))
+}
+
 func (d *Daemon) self() host.Host {
 	return host.Host{
 		Name:        d.settings.Host,
