Send heartbeats over one stream a peer, fast only to successors

Cause: every daemon sent each other one a unary call every 100 ms over HTTP/1.1, some 570 bytes each way (BenchmarkControlAtRest), every group had three tickers even when it was idle, and every daemon checked the health of all targets of undivided services.

Ruled out: datagrams. They need a transport of our own for what a stream over HTTP/2 does within the library; the slow mesh alone made the difference.

Change: a client stream of heartbeats to each peer that leaves out what did not change, 10 a second to the two daemons that would take over a held group, one a second to all others, each promising the next. Idle groups sleep. The list of hosts is read by the watchers and rarely by others.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -45,8 +45,8 @@
 	aloneInterval = 500 * time.Millisecond
 	// listInterval is the time between two full reads of the records by a daemon that does not watch.
 	listInterval = time.Minute
-	// callTimeout bounds a control call.
-	callTimeout = 250 * time.Millisecond
+	// successors is how many daemons get fast heartbeats for each group that the daemon holds.
+	successors = 2
 	// recordsTimeout bounds the transfer of records.
 	recordsTimeout = 2 * time.Second
 )
@@ -64,6 +64,8 @@
 	Workers   *ants.Pool
 	// Holdings returns the groups that the daemon holds.
 	Holdings func() []host.Holding
+	// Preferred returns the data centres that a service prefers for its holder.
+	Preferred func(service string) []string
 	// Learn takes objects of groups.
 	Learn func(objects []platform.Object)
 	// Seek is called once per heartbeat to take groups that nobody holds.
@@ -79,6 +81,8 @@
 	view      *host.View
 	pulling   map[string]bool
 	setAsides []peer.SetAside
+	links     map[netip.AddrPort]*link
+	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
 }
@@ -86,14 +90,14 @@
 // New returns a Cell that is not started.
 func New(d Dependencies) *Cell {
 	d.Log = d.Log.With("part", "cell")
-	return &Cell{d: d, view: host.New(d.Self, d.Timing, time.Now()), pulling: map[string]bool{}}
+	return &Cell{d: d, view: host.New(d.Self, d.Timing, time.Now()), pulling: map[string]bool{}, links: map[netip.AddrPort]*link{}}
 }
 
 // Start begins heartbeats and the spread of records.
 func (c *Cell) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	c.cancel = cancel
-	c.wg.Go(func() { c.every(ctx, c.d.Timing.Interval, c.beat) })
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	ctx := c.ctx
+	c.wg.Go(func() { c.every(ctx, c.d.Timing.Interval, func(context.Context) { c.beat(false) }) })
 	c.wg.Go(func() { c.watchHosts(ctx) })
 	c.wg.Go(func() { c.watch(ctx, catalogue.ObjectKind) })
 	c.wg.Go(func() { c.watch(ctx, holder.ObjectKind) })
@@ -174,7 +178,7 @@
 
 // Announce sends a heartbeat to all peers at once.
 func (c *Cell) Announce() {
-	c.beat(context.Background())
+	c.beat(true)
 }
 
 // TellSetAside tells all peers of a request that is set aside.
@@ -193,61 +197,6 @@
 	}
 }
 
-// beat sends a heartbeat to every known daemon and seeks groups without a holder.
-func (c *Cell) beat(ctx context.Context) {
-	holdings := c.d.Holdings()
-	c.mu.Lock()
-	now := time.Now()
-	c.setAsides = slices.DeleteFunc(c.setAsides, func(s peer.SetAside) bool { return now.After(s.Until) })
-	b := peer.Beat{Sender: c.view.Self(), Holdings: holdings, SetAsides: slices.Clone(c.setAsides)}
-	known := c.view.Known()
-	c.mu.Unlock()
-	b.Versions = c.versions()
-	addresses := map[netip.AddrPort]bool{}
-	for _, h := range known {
-		addresses[h.Control] = true
-	}
-	if len(known) == 0 {
-		for _, a := range c.d.Seeds {
-			addresses[a] = true
-		}
-	}
-	delete(addresses, b.Sender.Control)
-	for a := range addresses {
-		_ = c.d.Workers.Submit(func() { c.beatOne(ctx, a, b) })
-	}
-	c.d.Seek(now)
-}
-
-func (c *Cell) beatOne(ctx context.Context, a netip.AddrPort, b peer.Beat) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	h, v, err := c.d.Clients.Heartbeat(ctx, a, b)
-	if err != nil {
-		return
-	}
-	c.mu.Lock()
-	c.view.Met(h)
-	c.mu.Unlock()
-	c.follow(h, v)
-}
-
-// Heartbeat takes a peer's heartbeat.
-func (c *Cell) Heartbeat(b peer.Beat) (host.Host, peer.Versions) {
-	c.mu.Lock()
-	fresh := c.view.Heard(time.Now(), b.Sender, b.Holdings)
-	self := c.view.Self()
-	c.mu.Unlock()
-	if fresh {
-		c.d.Log.Info("Daemon is alive.", "host", b.Sender.Name)
-	}
-	for _, s := range b.SetAsides {
-		c.d.SetAside(s)
-	}
-	c.follow(b.Sender, b.Versions)
-	return self, c.versions()
-}
-
 // isWatcher reports whether the daemon is one of those that watch the store.
 func (c *Cell) isWatcher() bool {
 	alive := c.Alive()
@@ -259,15 +208,19 @@
 	return rank >= 0 && rank < watchers
 }
 
-// watchHosts reads the platform's list now and then, and more often while no
-// other daemon is known.
+// watchHosts reads the platform's list: often while no other daemon is known,
+// now and then as a watcher, and rarely otherwise, since new daemons make
+// themselves known by their heartbeats.
 func (c *Cell) watchHosts(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.readHosts(ctx)
-		if len(c.Alive()) > 1 {
-			sleep(ctx, hostsInterval)
-		} else {
+		switch {
+		case len(c.Alive()) == 1:
 			sleep(ctx, aloneInterval)
+		case c.isWatcher():
+			sleep(ctx, hostsInterval)
+		default:
+			sleep(ctx, listInterval)
 		}
 	}
 }
--- a/control.go
+++ b/control.go
@@ -34,10 +34,13 @@
 		return nil, err
 	}
 	mux := http.NewServeMux()
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
 	return &control{
 		listener: ln,
 		mux:      mux,
-		server:   &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout},
+		server:   &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols},
 	}, nil
 }
 
--- a/e2e/rig_test.go
+++ b/e2e/rig_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -36,12 +37,22 @@
 
 var centres = []string{"leicester", "derby", "nottingham", "coventry"}
 
-// freePort returns an address that was free a moment ago.
+// lastPort is the port that freePort gave last. Ports below the range of
+// outgoing connections stay free until their program listens.
+var lastPort atomic.Int32
+
+// freePort returns an address that nothing listens on.
 func freePort(tb testing.TB) netip.AddrPort {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(tb, err, qt.IsNil)
-	defer func() { _ = ln.Close() }()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	for range 1000 {
+		a := fmt.Sprintf("127.0.0.1:%d", 23000+lastPort.Add(1)%9000)
+		ln, err := net.Listen("tcp", a)
+		if err == nil {
+			_ = ln.Close()
+			return netip.MustParseAddrPort(a)
+		}
+	}
+	tb.Fatal("no port is free")
+	return netip.AddrPort{}
 }
 
 // binaries builds the programs once for all tests.
@@ -58,6 +69,7 @@
 })
 
 func TestMain(m *testing.M) {
+	lastPort.Store(int32(os.Getpid() % 90 * 100)) // runs side by side begin at different ports
 	code := m.Run()
 	if dir, err := binaries(); err == nil {
 		_ = os.RemoveAll(dir)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -135,7 +135,7 @@
 	check = func() {
 		switch {
 		case w.ended.Load():
-		case e.d.Alive(h.Name):
+		case e.stillHolds(r, h):
 			w.timer.Reset(lossCheck)
 		default:
 			w.lost.Store(true)
@@ -151,6 +151,12 @@
 	return w
 }
 
+// stillHolds reports whether h is alive and nobody else is known to hold the group.
+func (e *Entry) stillHolds(r *request, h host.Host) bool {
+	now, ok := e.holder(r.bundle)
+	return e.d.Alive(h.Name) && (!ok || now.Name == h.Name)
+}
+
 func (w *passWatch) stop() {
 	w.ended.Store(true)
 	if w.timer != nil {
--- a/holder/group.go
+++ b/holder/group.go
@@ -60,12 +60,14 @@
 	unserved time.Time
 	seekAt   time.Time
 	losses   int
+	expiring bool
 	recorded recorder
 	moving   map[int]bool
 	watches  map[*attemptWatch]struct{}
 
 	ids    idKeeper
 	wake   chan struct{}
+	work   chan struct{}
 	cancel context.CancelFunc
 	ended  chan struct{}
 
@@ -82,6 +84,7 @@
 		health:  map[string]*healthState{},
 		watches: map[*attemptWatch]struct{}{},
 		wake:    make(chan struct{}, 1),
+		work:    make(chan struct{}, 1),
 		ended:   make(chan struct{}),
 	}
 	g.ids.init()
@@ -111,8 +114,8 @@
 
 func (g *Group) loop(ctx context.Context) {
 	defer close(g.ended)
-	ticker := time.NewTicker(g.d.Timing.Tick)
-	defer ticker.Stop()
+	rounds := time.NewTicker(g.d.Timing.Tick)
+	defer rounds.Stop()
 	expiry := time.NewTicker(expiryInterval)
 	defer expiry.Stop()
 	for {
@@ -120,10 +123,20 @@
 		case <-ctx.Done():
 			return
 		case <-expiry.C:
-			g.expire()
+			if !g.expire() {
+				expiry.Stop()
+			}
 			continue
-		case <-ticker.C:
+		case <-g.work:
+			expiry.Reset(expiryInterval)
+			continue
+		case <-rounds.C:
 		case <-g.wake:
+			rounds.Reset(g.d.Timing.Tick)
+		}
+		if g.idle() {
+			rounds.Stop()
+			continue
 		}
 		g.round(ctx)
 		g.checkHealth(ctx)
@@ -131,18 +144,42 @@
 	}
 }
 
+// idle reports whether the group is neither sought nor held nor used here; then
+// it costs nothing until it is poked.
+func (g *Group) idle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holder.Phase() == grant.PhaseIdle && g.inFlight.Load() == 0
+}
+
 // expiryInterval is how often waiting requests are checked against their deadlines.
 const expiryInterval = 10 * time.Millisecond
 
-func (g *Group) expire() {
+// expire refuses waiting requests whose deadlines passed. It returns false when
+// there is nothing to look after.
+func (g *Group) expire() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	if g.core.Queued() == 0 && g.core.Running() == 0 {
-		return
+		g.expiring = false
+		return false
 	}
 	g.core.Tick(now)
 	g.pump(now)
+	return true
+}
+
+// expireLater has waiting requests checked from now on. The caller holds the lock.
+func (g *Group) expireLater() {
+	if g.expiring {
+		return
+	}
+	g.expiring = true
+	select {
+	case g.work <- struct{}{}:
+	default:
+	}
 }
 
 // poke starts a round without waiting for the next tick.
--- a/holder/health.go
+++ b/holder/health.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/redwingtally/redwingtally/dispatch"
-	"github.com/redwingtally/redwingtally/grant"
 	"github.com/redwingtally/redwingtally/service"
 	"github.com/redwingtally/redwingtally/target"
 )
@@ -38,9 +37,6 @@
 func (g *Group) checkHealth(ctx context.Context) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.holder.Phase() == grant.PhaseIdle && g.bundle.Service.Division != nil {
-		return
-	}
 	now := time.Now()
 	interval := healthInterval
 	if d := g.bundle.Service.Division; d != nil && !d.ChecksGrants {
--- a/holder/manager.go
+++ b/holder/manager.go
@@ -117,6 +117,14 @@
 	return g.bundle.Placement.DataCentres
 }
 
+// Preferred returns the data centres that a service prefers for its holder.
+func (m *Manager) Preferred(service string) []string {
+	if g, ok := m.Group(service); ok {
+		return g.Preferred()
+	}
+	return nil
+}
+
 // Seek takes the groups that shouldSeek names and nobody holds.
 func (m *Manager) Seek(now time.Time, shouldSeek func(service string, dataCentres []string) (grant.Term, bool)) {
 	for _, g := range m.All() {
--- a/holder/serve.go
+++ b/holder/serve.go
@@ -99,9 +99,14 @@
 	now := time.Now()
 	r := g.core.Add(now, &j.req)
 	if r == nil {
+		g.expireLater()
 		g.pump(now)
 	}
+	idle := g.holder.Phase() == grant.PhaseIdle
 	g.mu.Unlock()
+	if idle {
+		g.poke() // health checks run while requests come
+	}
 	if r != nil {
 		g.refuse(c, j, *r)
 		end()
--- a/host/view.go
+++ b/host/view.go
@@ -8,7 +8,7 @@
 //
 //	v := host.New(self, host.DefaultTiming(), now)
 //	v.Listed(now, peers)            // the platform's list
-//	v.Heard(now, peer, holdings)    // a heartbeat
+//	v.Heard(now, peer, holdings, interval) // a heartbeat
 //	holder, ok := v.Holder(now, "stockroom", nil)
 package host
 
@@ -42,29 +42,35 @@
 
 // A Timing holds the periods of membership.
 type Timing struct {
-	// Interval is the time between two heartbeats.
+	// Interval is the time between two heartbeats to the daemons that would
+	// take over a group that the sender holds.
 	Interval time.Duration
-	// Suspicion is the silence after which a daemon counts as lost.
-	Suspicion time.Duration
+	// Slow is the time between two heartbeats to all others.
+	Slow time.Duration
 	// Settle is how long a new daemon listens before it seeks a group.
 	Settle time.Duration
 	// BackOff is the time by which each further candidate waits.
 	BackOff time.Duration
 }
 
-// DefaultTiming returns the timing that finds a lost daemon within 350 ms.
+// suspicion returns the silence after which a daemon counts as lost that
+// promised a heartbeat at an interval.
+func suspicion(interval time.Duration) time.Duration { return interval * 5 / 2 }
+
+// DefaultTiming returns the timing that finds a lost holder within 350 ms.
 func DefaultTiming() Timing {
 	return Timing{
-		Interval:  100 * time.Millisecond,
-		Suspicion: 250 * time.Millisecond,
-		Settle:    400 * time.Millisecond,
-		BackOff:   200 * time.Millisecond,
+		Interval: 100 * time.Millisecond,
+		Slow:     time.Second,
+		Settle:   400 * time.Millisecond,
+		BackOff:  200 * time.Millisecond,
 	}
 }
 
 type member struct {
 	host     Host
 	heard    time.Time
+	interval time.Duration
 	since    time.Time
 	holdings []Holding
 	listed   bool
@@ -120,8 +126,9 @@
 	}
 }
 
-// Heard takes a heartbeat. It returns whether the daemon was not known alive.
-func (v *View) Heard(now time.Time, h Host, holdings []Holding) bool {
+// Heard takes a heartbeat that promises the next within an interval. It
+// returns whether the daemon was not known alive.
+func (v *View) Heard(now time.Time, h Host, holdings []Holding, interval time.Duration) bool {
 	if h.Name == v.self.Name {
 		return false
 	}
@@ -136,12 +143,13 @@
 	}
 	m.host = h
 	m.heard = now
+	m.interval = interval
 	m.holdings = holdings
 	return fresh
 }
 
 func (v *View) alive(now time.Time, m *member) bool {
-	return !m.heard.IsZero() && now.Sub(m.heard) <= v.timing.Suspicion
+	return !m.heard.IsZero() && now.Sub(m.heard) <= suspicion(m.interval)
 }
 
 // IsAlive reports whether a daemon is believed alive.
@@ -282,14 +290,3 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].Host.Name < out[j].Host.Name })
 	return out
 }
-
-// Met notes a daemon that answered, so that it gets heartbeats from now on.
-// An answer is no heartbeat: only the daemon's own make it count as alive.
-func (v *View) Met(h Host) {
-	if h.Name == v.self.Name || h.Name == "" {
-		return
-	}
-	if _, ok := v.members[h.Name]; !ok {
-		v.members[h.Name] = &member{host: h}
-	}
-}
--- a/peer/controlpb/controlpbconnect/control.connect.go
+++ b/peer/controlpb/controlpbconnect/control.connect.go
@@ -34,8 +34,8 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// ControlHeartbeatProcedure is the fully-qualified name of the Control's Heartbeat RPC.
-	ControlHeartbeatProcedure = "/redwingtally.control.v1.Control/Heartbeat"
+	// ControlHeartbeatsProcedure is the fully-qualified name of the Control's Heartbeats RPC.
+	ControlHeartbeatsProcedure = "/redwingtally.control.v1.Control/Heartbeats"
 	// ControlRecordsProcedure is the fully-qualified name of the Control's Records RPC.
 	ControlRecordsProcedure = "/redwingtally.control.v1.Control/Records"
 	// ControlNoteProcedure is the fully-qualified name of the Control's Note RPC.
@@ -48,8 +48,8 @@
 
 // ControlClient is a client for the redwingtally.control.v1.Control service.
 type ControlClient interface {
-	// Heartbeat tells a peer that the sender is alive and what it holds.
-	Heartbeat(context.Context, *connect.Request[controlpb.HeartbeatRequest]) (*connect.Response[controlpb.HeartbeatResponse], error)
+	// Heartbeats tells a peer again and again that the sender is alive and what it holds.
+	Heartbeats(context.Context) *connect.ClientStreamForClient[controlpb.Heartbeat, controlpb.HeartbeatsEnd]
 	// Records returns the records that changed after a version.
 	Records(context.Context, *connect.Request[controlpb.RecordsRequest]) (*connect.Response[controlpb.RecordsResponse], error)
 	// Note keeps copies of request ids; the holder sends no request before.
@@ -71,10 +71,10 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	controlMethods := controlpb.File_control_proto.Services().ByName("Control").Methods()
 	return &controlClient{
-		heartbeat: connect.NewClient[controlpb.HeartbeatRequest, controlpb.HeartbeatResponse](
+		heartbeats: connect.NewClient[controlpb.Heartbeat, controlpb.HeartbeatsEnd](
 			httpClient,
-			baseURL+ControlHeartbeatProcedure,
-			connect.WithSchema(controlMethods.ByName("Heartbeat")),
+			baseURL+ControlHeartbeatsProcedure,
+			connect.WithSchema(controlMethods.ByName("Heartbeats")),
 			connect.WithClientOptions(opts...),
 		),
 		records: connect.NewClient[controlpb.RecordsRequest, controlpb.RecordsResponse](
@@ -106,16 +106,16 @@
 
 // controlClient implements ControlClient.
 type controlClient struct {
-	heartbeat *connect.Client[controlpb.HeartbeatRequest, controlpb.HeartbeatResponse]
-	records   *connect.Client[controlpb.RecordsRequest, controlpb.RecordsResponse]
-	note      *connect.Client[controlpb.NoteRequest, controlpb.NoteResponse]
-	recall    *connect.Client[controlpb.RecallRequest, controlpb.RecallResponse]
-	handover  *connect.Client[controlpb.HandoverRequest, controlpb.HandoverResponse]
+	heartbeats *connect.Client[controlpb.Heartbeat, controlpb.HeartbeatsEnd]
+	records    *connect.Client[controlpb.RecordsRequest, controlpb.RecordsResponse]
+	note       *connect.Client[controlpb.NoteRequest, controlpb.NoteResponse]
+	recall     *connect.Client[controlpb.RecallRequest, controlpb.RecallResponse]
+	handover   *connect.Client[controlpb.HandoverRequest, controlpb.HandoverResponse]
 }
 
-// Heartbeat calls redwingtally.control.v1.Control.Heartbeat.
-func (c *controlClient) Heartbeat(ctx context.Context, req *connect.Request[controlpb.HeartbeatRequest]) (*connect.Response[controlpb.HeartbeatResponse], error) {
-	return c.heartbeat.CallUnary(ctx, req)
+// Heartbeats calls redwingtally.control.v1.Control.Heartbeats.
+func (c *controlClient) Heartbeats(ctx context.Context) *connect.ClientStreamForClient[controlpb.Heartbeat, controlpb.HeartbeatsEnd] {
+	return c.heartbeats.CallClientStream(ctx)
 }
 
 // Records calls redwingtally.control.v1.Control.Records.
@@ -140,8 +140,8 @@
 
 // ControlHandler is an implementation of the redwingtally.control.v1.Control service.
 type ControlHandler interface {
-	// Heartbeat tells a peer that the sender is alive and what it holds.
-	Heartbeat(context.Context, *connect.Request[controlpb.HeartbeatRequest]) (*connect.Response[controlpb.HeartbeatResponse], error)
+	// Heartbeats tells a peer again and again that the sender is alive and what it holds.
+	Heartbeats(context.Context, *connect.ClientStream[controlpb.Heartbeat]) (*connect.Response[controlpb.HeartbeatsEnd], error)
 	// Records returns the records that changed after a version.
 	Records(context.Context, *connect.Request[controlpb.RecordsRequest]) (*connect.Response[controlpb.RecordsResponse], error)
 	// Note keeps copies of request ids; the holder sends no request before.
@@ -159,10 +159,10 @@
 // and JSON codecs. They also support gzip compression.
 func NewControlHandler(svc ControlHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	controlMethods := controlpb.File_control_proto.Services().ByName("Control").Methods()
-	controlHeartbeatHandler := connect.NewUnaryHandler(
-		ControlHeartbeatProcedure,
-		svc.Heartbeat,
-		connect.WithSchema(controlMethods.ByName("Heartbeat")),
+	controlHeartbeatsHandler := connect.NewClientStreamHandler(
+		ControlHeartbeatsProcedure,
+		svc.Heartbeats,
+		connect.WithSchema(controlMethods.ByName("Heartbeats")),
 		connect.WithHandlerOptions(opts...),
 	)
 	controlRecordsHandler := connect.NewUnaryHandler(
@@ -191,8 +191,8 @@
 	)
 	return "/redwingtally.control.v1.Control/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case ControlHeartbeatProcedure:
-			controlHeartbeatHandler.ServeHTTP(w, r)
+		case ControlHeartbeatsProcedure:
+			controlHeartbeatsHandler.ServeHTTP(w, r)
 		case ControlRecordsProcedure:
 			controlRecordsHandler.ServeHTTP(w, r)
 		case ControlNoteProcedure:
@@ -210,8 +210,8 @@
 // UnimplementedControlHandler returns CodeUnimplemented from all methods.
 type UnimplementedControlHandler struct{}
 
-func (UnimplementedControlHandler) Heartbeat(context.Context, *connect.Request[controlpb.HeartbeatRequest]) (*connect.Response[controlpb.HeartbeatResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingtally.control.v1.Control.Heartbeat is not implemented"))
+func (UnimplementedControlHandler) Heartbeats(context.Context, *connect.ClientStream[controlpb.Heartbeat]) (*connect.Response[controlpb.HeartbeatsEnd], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("redwingtally.control.v1.Control.Heartbeats is not implemented"))
 }
 
 func (UnimplementedControlHandler) Records(context.Context, *connect.Request[controlpb.RecordsRequest]) (*connect.Response[controlpb.RecordsResponse], error) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -3,7 +3,8 @@
 // # Usage
 //
 //	clients := peer.NewClients(count)
-//	reply, err := clients.Heartbeat(ctx, address, beat)
+//	beats := clients.Beats(ctx, address)
+//	err := beats.Send(beat)
 //
 //	mux.Handle(peer.Handler(peer.Service{Heartbeat: ..., Records: ...}))
 package peer
@@ -37,16 +38,28 @@
 	dialTimeout = 300 * time.Millisecond
 	// idleTimeout is how long an idle connection is kept.
 	idleTimeout = 10 * time.Second
-	// maxIdle bounds the idle connections to one peer.
-	maxIdle = 2
+	// pingAfter is the silence after which a connection is probed.
+	pingAfter = 2 * time.Second
+	// pingTimeout is how long the probe may take before the connection is closed.
+	pingTimeout = time.Second
 )
 
+// protocols is HTTP/2 without encryption: one connection to each peer, and
+// headers that cost a few bytes.
+func protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
 // A Beat is what a daemon tells its peers with each heartbeat.
 type Beat struct {
 	Sender    host.Host
 	Holdings  []host.Holding
 	Versions  Versions
 	SetAsides []SetAside
+	// Interval is when the next heartbeat follows at the latest.
+	Interval time.Duration
 }
 
 // Versions are how far a daemon knows the store's objects.
@@ -78,14 +91,16 @@
 // NewClients returns Clients without connections, whose bytes are counted.
 func NewClients(count Counter) *Clients {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:        countDial(dialer.DialContext, count),
+		IdleConnTimeout:    idleTimeout,
+		DisableCompression: true,
+		Protocols:          protocols(),
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
 	return &Clients{
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         countDial(dialer.DialContext, count),
-			MaxIdleConnsPerHost: maxIdle,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		}},
-		by: map[netip.AddrPort]controlpbconnect.ControlClient{},
+		http: &http.Client{Transport: transport},
+		by:   map[netip.AddrPort]controlpbconnect.ControlClient{},
 	}
 }
 
@@ -112,27 +127,6 @@
 	return r.Msg, nil
 }
 
-// Heartbeat sends a heartbeat and returns the peer and what it knows.
-func (c *Clients) Heartbeat(ctx context.Context, a netip.AddrPort, b Beat) (host.Host, Versions, error) {
-	q := &controlpb.HeartbeatRequest{
-		Sender:         encodeHost(b.Sender),
-		RecordsVersion: uint64(b.Versions.Records),
-		GroupsVersion:  uint64(b.Versions.Groups),
-	}
-	for _, h := range b.Holdings {
-		q.Holdings = append(q.Holdings, &controlpb.Holding{Group: h.Group, Term: uint64(h.Term)})
-	}
-	for _, s := range b.SetAsides {
-		q.SetAsides = append(q.SetAsides, &controlpb.SetAside{Group: s.Group, Fingerprint: s.Fingerprint, UntilUnixMs: s.Until.UnixMilli()})
-	}
-	r, err := call(ctx, c.client(a).Heartbeat, q)
-	if err != nil {
-		return host.Host{}, Versions{}, err
-	}
-	v := Versions{Records: platform.Version(r.GetRecordsVersion()), Groups: platform.Version(r.GetGroupsVersion())}
-	return decodeHost(r.GetSender()), v, nil
-}
-
 // Records returns the objects of a kind that changed at a peer after a version,
 // and false when the peer has learned none itself.
 func (c *Clients) Records(ctx context.Context, a netip.AddrPort, kind string, after platform.Version) ([]platform.Object, bool, error) {
--- a/peer/service.go
+++ b/peer/service.go
@@ -8,7 +8,6 @@
 	"connectrpc.com/connect"
 
 	"github.com/redwingtally/redwingtally/grant"
-	"github.com/redwingtally/redwingtally/host"
 	"github.com/redwingtally/redwingtally/once"
 	"github.com/redwingtally/redwingtally/peer/controlpb"
 	"github.com/redwingtally/redwingtally/peer/controlpb/controlpbconnect"
@@ -17,8 +16,8 @@
 
 // A Service answers control calls by functions.
 type Service struct {
-	// Heartbeat takes a peer's heartbeat and returns the daemon itself and what it knows.
-	Heartbeat func(b Beat) (host.Host, Versions)
+	// Heartbeat takes a peer's heartbeat.
+	Heartbeat func(b Beat)
 	// Records returns the objects of a kind that changed after a version, and
 	// whether the daemon has learned any.
 	Records func(kind string, after platform.Version) ([]platform.Object, bool)
@@ -37,28 +36,6 @@
 
 type handler struct{ s Service }
 
-func (h handler) Heartbeat(_ context.Context, r *connect.Request[controlpb.HeartbeatRequest]) (*connect.Response[controlpb.HeartbeatResponse], error) {
-	b := Beat{Sender: decodeHost(r.Msg.GetSender()), Versions: Versions{
-		Records: platform.Version(r.Msg.GetRecordsVersion()),
-		Groups:  platform.Version(r.Msg.GetGroupsVersion()),
-	}}
-	if b.Sender.Name == "" || !b.Sender.Control.IsValid() {
-		return nil, connect.NewError(connect.CodeInvalidArgument, nil)
-	}
-	for _, g := range r.Msg.GetHoldings() {
-		b.Holdings = append(b.Holdings, host.Holding{Group: g.GetGroup(), Term: grant.Term(g.GetTerm())})
-	}
-	for _, a := range r.Msg.GetSetAsides() {
-		b.SetAsides = append(b.SetAsides, SetAside{Group: a.GetGroup(), Fingerprint: a.GetFingerprint(), Until: time.UnixMilli(a.GetUntilUnixMs())})
-	}
-	self, v := h.s.Heartbeat(b)
-	return connect.NewResponse(&controlpb.HeartbeatResponse{
-		Sender:         encodeHost(self),
-		RecordsVersion: uint64(v.Records),
-		GroupsVersion:  uint64(v.Groups),
-	}), nil
-}
-
 func (h handler) Records(_ context.Context, r *connect.Request[controlpb.RecordsRequest]) (*connect.Response[controlpb.RecordsResponse], error) {
 	objects, known := h.s.Records(r.Msg.GetKind(), platform.Version(r.Msg.GetAfter()))
 	out := &controlpb.RecordsResponse{Known: known}
--- a/redwingtally.go
+++ b/redwingtally.go
@@ -132,6 +132,7 @@
 		Metrics:   p.metrics,
 		Workers:   d.workers,
 		Holdings:  func() []host.Holding { return p.manager.Holdings() },
+		Preferred: func(service string) []string { return p.manager.Preferred(service) },
 		Learn:     func(objects []platform.Object) { p.manager.Learn(objects) },
 		Seek:      d.seek,
 		SetAside:  d.takeSetAside,
