--- a/control.go
+++ b/control.go
@@ -71,10 +71,17 @@
 	return nil
 }
 
+// stop ends control calls; streams of heartbeats from peers would never end by themselves.
 func (c *control) stop(ctx context.Context) error {
-	return c.server.Shutdown(ctx)
+	ctx, cancel := context.WithTimeout(ctx, controlStop)
+	defer cancel()
+	_ = c.server.Shutdown(ctx)
+	return c.server.Close()
 }
 
+// controlStop bounds the wait for control calls at the end.
+const controlStop = 100 * time.Millisecond
+
 // Status is what a daemon reports to operators.
 type Status struct {
 	Host       string              `json:"host"`
--- a/holder/ids.go
+++ b/holder/ids.go
@@ -17,6 +17,8 @@
 	keeperCount = 2
 	// noteTimeout bounds the keeping of a note.
 	noteTimeout = 300 * time.Millisecond
+	// failedPause is how long a daemon that gave no answer is not asked to keep notes.
+	failedPause = 5 * time.Second
 	// reopenPause is the least time between two changes of the keepers.
 	reopenPause = time.Second
 )
@@ -31,6 +33,8 @@
 	busy    bool
 	tried   time.Time
 	keepers []Keeper
+	// failed holds keepers that gave no answer, and when.
+	failed map[string]time.Time
 	// opened is closed and replaced whenever open changes to true.
 	opened chan struct{}
 }
@@ -44,6 +48,7 @@
 
 func (k *idKeeper) init() {
 	k.opened = make(chan struct{})
+	k.failed = map[string]time.Time{}
 }
 
 func (k *idKeeper) status() IDStatus {
@@ -71,7 +76,7 @@
 	if g.holder.Phase() != grant.PhaseHolding || k.busy || g.leaving || !g.needsIDs() {
 		return
 	}
-	alive := g.d.Alive()
+	alive := k.usable(g.d.Alive())
 	if k.open && !k.stale(alive, g.d.Self().Name) {
 		return
 	}
@@ -89,6 +94,14 @@
 	})
 }
 
+// usable leaves out daemons that gave no answer a moment ago.
+func (k *idKeeper) usable(alive []host.Host) []host.Host {
+	return slices.DeleteFunc(alive, func(h host.Host) bool {
+		at, ok := k.failed[h.Name]
+		return ok && time.Since(at) < failedPause
+	})
+}
+
 func (g *Group) needsIDs() bool {
 	return slices.ContainsFunc(g.bundle.Policy.Routes, func(r policy.Route) bool { return r.OnceOnly })
 }
@@ -125,6 +138,7 @@
 	})
 	g.countStore("ids", err)
 	if err != nil {
+		g.step(func(time.Time) { g.holder.Seen(obj.Term) })
 		return
 	}
 	table := k.recall(ctx, g, term, fenced, obj)
@@ -240,5 +254,29 @@
 		})
 	}
 	wg.Wait()
-	return !slices.Contains(results, false)
+	kept := !slices.Contains(results, false)
+	if !kept {
+		k.drop(g, keepers, results)
+	}
+	return kept
+}
+
+// noted reports whether the table has the id as started.
+func (k *idKeeper) noted(g *Group, id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return k.table.Started(id)
+}
+
+// drop closes the table until the keepers that gave no answer are replaced.
+func (k *idKeeper) drop(g *Group, keepers []Keeper, results []bool) {
+	g.mu.Lock()
+	for i, ok := range results {
+		if !ok {
+			k.failed[keepers[i].Name] = time.Now()
+		}
+	}
+	k.open = false
+	g.mu.Unlock()
+	g.poke()
 }
--- a/holder/serve.go
+++ b/holder/serve.go
@@ -245,18 +245,25 @@
 		g.fail(c, j, refusal.Refusal{Status: 400, Code: refusal.CodeIDRequired, Message: "the route runs requests once only and needs the header " + target.RequestIDHeader, NotRun: refusal.NotRunTrue})
 		return false
 	}
-	if !g.awaitIDs(ctx) {
-		g.fail(c, j, refusal.Refusal{Status: 503, Code: refusal.CodeNotesUnkept, Message: "request ids cannot be looked up now; the same id may be sent again", NotRun: refusal.NotRunUnknown, RetryAfter: time.Second})
-		return false
-	}
-	g.mu.Lock()
-	d := g.ids.table.Admit(time.Now(), j.in.RequestID)
-	g.mu.Unlock()
-	if d.Verdict != once.VerdictRun {
-		g.repeat(c, j, d)
-		return false
+	for range admitTries {
+		if !g.awaitIDs(ctx) {
+			g.fail(c, j, refusal.Refusal{Status: 503, Code: refusal.CodeNotesUnkept, Message: "request ids cannot be looked up now; the same id may be sent again", NotRun: refusal.NotRunUnknown, RetryAfter: time.Second})
+			return false
+		}
+		g.mu.Lock()
+		d := g.ids.table.Admit(time.Now(), j.in.RequestID)
+		g.mu.Unlock()
+		if d.Verdict != once.VerdictRun {
+			g.repeat(c, j, d)
+			return false
+		}
+		if g.ids.note(ctx, g, j.in.RequestID) {
+			break
+		}
+		// A keeper is lost; the id has not run and is admitted again once the keeper is replaced.
+		g.ran(j, refusal.NotRunTrue)
 	}
-	if !g.ids.note(ctx, g, j.in.RequestID) || !g.awaitEvidence(ctx) {
+	if !g.ids.noted(g, j.in.RequestID) || !g.awaitEvidence(ctx) {
 		g.ran(j, refusal.NotRunTrue)
 		g.fail(c, j, refusal.Refusal{Status: 503, Code: refusal.CodeEvidence, Message: "the request id could not be kept or ownership not be proved", NotRun: refusal.NotRunTrue, RetryAfter: time.Second})
 		return false
@@ -264,6 +271,9 @@
 	return true
 }
 
+// admitTries bounds how often a request is admitted while keepers are replaced.
+const admitTries = 3
+
 // idWait bounds the wait for the table of ids after a change of holder.
 const idWait = 1500 * time.Millisecond
 
--- a/holder/watch.go
+++ b/holder/watch.go
@@ -77,7 +77,7 @@
 	}
 	w.target.Suspect()
 	g.d.Metrics.SilentConnections.WithLabelValues(g.name).Inc()
-	if !w.job.req.Long() {
+	if !w.job.route.Long {
 		w.takeBack()
 	}
 }
--- a/once/table.go
+++ b/once/table.go
@@ -115,6 +115,12 @@
 	return Decision{Verdict: VerdictUnknown}
 }
 
+// Started reports whether the id counts as started here.
+func (t *Table) Started(id string) bool {
+	e, ok := t.entries[id]
+	return ok && e.State == StateStarted
+}
+
 // Finish notes that the request ran; answer may be nil.
 func (t *Table) Finish(id string, answer *Answer) {
 	if e, ok := t.entries[id]; ok {
@@ -130,9 +136,12 @@
 	}
 }
 
-// Forget notes that the request did not run; it may run later.
+// Forget notes that the request, which was admitted here, did not run; it may
+// run later. What others told of the id stays.
 func (t *Table) Forget(id string) {
-	delete(t.entries, id)
+	if t.Started(id) {
+		delete(t.entries, id)
+	}
 }
 
 // Merge takes entries that others keep; what is started there has an unknown outcome here.
