--- /dev/null
+++ b/catalogue/catalogue_test.go
@@ -0,0 +1,157 @@
+package catalogue
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/redwingtally/redwingtally/placement"
+	"github.com/redwingtally/redwingtally/platform"
+	"github.com/redwingtally/redwingtally/policy"
+	"github.com/redwingtally/redwingtally/record"
+	"github.com/redwingtally/redwingtally/service"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// The same cases on every run; flags on the command line go first.
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+func registry() *record.Registry {
+	reg, err := record.New(service.Kind(), placement.Kind(), policy.Kind())
+	if err != nil {
+		panic(err)
+	}
+	return reg
+}
+
+func object(name string, version platform.Version, slots int) platform.Object {
+	value := fmt.Sprintf(`{"kind":"service","name":%q,"schema_version":2,"spec":{"slots_per_target":%d,"connections_per_target":100,"targets":[{"name":"t","address":"127.0.0.1:1","data_centre":"d"}]}}`, name, slots)
+	return platform.Object{Kind: ObjectKind, Name: ObjectName("service", name), Version: version, Value: []byte(value)}
+}
+
+func TestInvalidRecordLeavesTheLastGoodOne(t *testing.T) {
+	c := New(registry())
+	qt.Assert(t, c.Ready(), qt.IsFalse)
+	c.Apply(ObjectKind, []platform.Object{object("desk", 3, 2)})
+	c.Apply(ObjectKind, []platform.Object{object("desk", 5, -1)})
+	b, ok := c.Service("desk")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, b.Service.SlotsPerTarget, qt.Equals, 2)
+	qt.Assert(t, c.Problems(), qt.HasLen, 1)
+	qt.Assert(t, c.Problems()[0].Version, qt.Equals, platform.Version(5))
+	c.Apply(ObjectKind, []platform.Object{object("desk", 6, 4)})
+	b, _ = c.Service("desk")
+	qt.Assert(t, b.Service.SlotsPerTarget, qt.Equals, 4)
+	qt.Assert(t, c.Problems(), qt.HasLen, 0)
+}
+
+func TestListingShowsDeletions(t *testing.T) {
+	c := New(registry())
+	c.Apply(ObjectKind, []platform.Object{object("a", 1, 1), object("b", 2, 1)})
+	c.Replace(ObjectKind, []platform.Object{object("b", 2, 1)})
+	_, ok := c.Service("a")
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, c.Services(), qt.HasLen, 1)
+}
+
+// TestNeverBack spreads records from a store over daemons that watch, pull from
+// each other and restart, and checks that no daemon ever goes back and that all
+// have the newest in the end.
+func TestNeverBack(t *testing.T) {
+	const daemons, services = 4, 3
+	rapid.Check(t, func(t *rapid.T) {
+		var store []platform.Object
+		version := platform.Version(0)
+		catalogues := make([]*Catalogue, daemons)
+		inForce := make([][services]platform.Version, daemons)
+		for i := range catalogues {
+			catalogues[i] = New(registry())
+		}
+		daemon := func(t *rapid.T) int { return rapid.IntRange(0, daemons-1).Draw(t, "daemon") }
+		since := func(after platform.Version) []platform.Object {
+			latest := map[string]platform.Object{}
+			for _, o := range store {
+				latest[o.Name] = o
+			}
+			var out []platform.Object
+			for _, o := range latest {
+				if o.Version > after {
+					out = append(out, o)
+				}
+			}
+			return out
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				version++
+				s := rapid.IntRange(0, services-1).Draw(t, "service")
+				store = append(store, object(fmt.Sprintf("s%d", s), version, rapid.IntRange(-1, 9).Draw(t, "slots")))
+			},
+			"watch": func(t *rapid.T) {
+				c := catalogues[daemon(t)]
+				c.Apply(ObjectKind, since(c.Version(ObjectKind)))
+			},
+			"pull": func(t *rapid.T) {
+				c, from := catalogues[daemon(t)], catalogues[daemon(t)]
+				c.Apply(ObjectKind, from.Since(ObjectKind, c.Version(ObjectKind)))
+			},
+			"late answer": func(t *rapid.T) {
+				if len(store) > 0 {
+					catalogues[daemon(t)].Apply(ObjectKind, []platform.Object{store[rapid.IntRange(0, len(store)-1).Draw(t, "object")]})
+				}
+			},
+			"restart": func(t *rapid.T) {
+				i := daemon(t)
+				catalogues[i] = New(registry())
+				inForce[i] = [services]platform.Version{}
+			},
+			"": func(t *rapid.T) {
+				for i, c := range catalogues {
+					for s := range services {
+						b, ok := c.Service(fmt.Sprintf("s%d", s))
+						if !ok {
+							continue
+						}
+						if platform.Version(b.Version) < inForce[i][s] {
+							t.Fatalf("daemon %d went back from %d to %d", i, inForce[i][s], b.Version)
+						}
+						inForce[i][s] = platform.Version(b.Version)
+					}
+				}
+			},
+		})
+		// A daemon that watches the store alone has all of it.
+		whole := New(registry())
+		whole.Apply(ObjectKind, since(0))
+		for _, c := range catalogues {
+			c.Apply(ObjectKind, since(0))
+			if got, want := c.Version(ObjectKind), whole.Version(ObjectKind); got != want {
+				t.Fatalf("version %d, want %d", got, want)
+			}
+		}
+	})
+}
+
+func BenchmarkApplyOneOf(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
+			c := New(registry())
+			for i := range n {
+				c.Apply(ObjectKind, []platform.Object{object(fmt.Sprintf("s%d", i), platform.Version(i+1), 2)})
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				c.Apply(ObjectKind, []platform.Object{object("s0", platform.Version(n+i+2), 2)})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/e2e/hops_test.go
@@ -0,0 +1,101 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/redwingtally/redwingtally/lane"
+)
+
+// BenchmarkHops measures what the daemons add between a caller and a target
+// that answers at once: no daemon, the holder alone, and entry and holder. Half
+// load is 8 callers that pause; full load is 32 callers that do not.
+func BenchmarkHops(b *testing.B) {
+	s := newSystem(b, 2)
+	address := freePort(b)
+	startProcess(b, "redwingtally-standin", "target", "--name", "t", "--address", address.String(), "--slots", "64")
+	rec := strings.Replace(serviceRecord("desk", undivided, []netip.AddrPort{address}), "slots_per_target: 2", "slots_per_target: 64", 1)
+	rec = strings.Replace(rec, "connections_per_target: 50", "connections_per_target: 100", 1)
+	s.apply(rec + policyRecord("desk"))
+	s.daemonProcess(0)
+	s.daemonProcess(1)
+	holder := s.awaitHolder("desk")
+	time.Sleep(time.Second)
+	paths := []struct {
+		name  string
+		entry netip.AddrPort
+		path  string
+	}{
+		{"direct", address, "/pages"},
+		{"holder", s.entries[holder], "/desk/pages"},
+		{"entry_and_holder", s.entries[1-holder], "/desk/pages"},
+	}
+	for _, load := range []struct {
+		name    string
+		callers int
+		pause   time.Duration
+	}{{"half", 8, time.Millisecond}, {"full", 32, 0}} {
+		for _, p := range paths {
+			b.Run(fmt.Sprintf("%s/%s", load.name, p.name), func(b *testing.B) {
+				before := s.cpu()
+				latencies, rate := drive(b, p.entry, p.path, load.callers, load.pause, 4*time.Second)
+				cpu := s.cpu() - before
+				slices.Sort(latencies)
+				b.ReportMetric(float64(latencies[len(latencies)/2].Microseconds()), "p50_us")
+				b.ReportMetric(float64(latencies[len(latencies)*99/100].Microseconds()), "p99_us")
+				b.ReportMetric(rate, "requests/s")
+				b.ReportMetric(cpu*1e6/float64(len(latencies)), "daemon_cpu_us/request")
+			})
+		}
+	}
+}
+
+// cpu returns the processor time of all daemons in seconds.
+func (s *system) cpu() float64 {
+	var sum float64
+	for i := range s.settings {
+		sum += s.metrics(i)["process_cpu_seconds_total"]
+	}
+	return sum
+}
+
+// drive sends requests for d and returns their latencies and their rate.
+func drive(b *testing.B, entry netip.AddrPort, path string, callers int, rest, d time.Duration) ([]time.Duration, float64) {
+	var mu sync.Mutex
+	var all []time.Duration
+	var wg sync.WaitGroup
+	end := time.Now().Add(d)
+	for range callers {
+		wg.Go(func() {
+			p := lane.NewPool(entry, 1)
+			defer p.Close()
+			var mine []time.Duration
+			for time.Now().Before(end) {
+				began := time.Now()
+				r, err := p.Call(context.Background(), lane.Call{Method: "GET", Path: path})
+				if err != nil || r.Status != 200 {
+					b.Errorf("status %d: %v", r.Status, err)
+					return
+				}
+				mine = append(mine, time.Since(began))
+				if rest > 0 {
+					time.Sleep(rest)
+				}
+			}
+			mu.Lock()
+			all = append(all, mine...)
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	qt.Assert(b, len(all) > 0, qt.IsTrue)
+	return all, float64(len(all)) / d.Seconds()
+}
--- /dev/null
+++ b/e2e/operators_test.go
@@ -0,0 +1,123 @@
+package e2e
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+
+	"github.com/redwingtally/redwingtally"
+	"github.com/redwingtally/redwingtally/internal/standin"
+	"github.com/redwingtally/redwingtally/operator"
+	"github.com/redwingtally/redwingtally/platform"
+	"github.com/redwingtally/redwingtally/record"
+)
+
+// TestOperatorsRace has operators edit one record at a time from the version
+// that each read: every edit that was acknowledged follows from the one before.
+func TestOperatorsRace(t *testing.T) {
+	s := newSystem(t, 0)
+	s.apply("kind: placement\nname: desk\nschema_version: 2\nspec: {hot_keys: 0}\n")
+	const operators, edits = 6, 10
+	var wg sync.WaitGroup
+	conflicts := make([]int, operators)
+	for i := range operators {
+		wg.Go(func() {
+			op := operator.New(platform.New(s.platform.Address()), redwingtally.Records())
+			for done := 0; done < edits; {
+				r, err := op.Get(context.Background(), "placement", "desk", 0)
+				qt.Check(t, err, qt.IsNil)
+				n := hotKeys(t, r)
+				r.Spec = []byte(`{"hot_keys":` + itoa(n+1) + `}`)
+				results, err := op.Apply(context.Background(), []record.Record{r})
+				switch {
+				case err == nil && results[0].Change == operator.ChangeUpdated:
+					done++
+				case err == nil:
+					// Another operator wrote the same text meanwhile; this one changed nothing.
+					qt.Check(t, results[0].Change, qt.Equals, operator.ChangeUnchanged)
+				case eris.Is(err, operator.ErrConflict):
+					conflicts[i]++
+				default:
+					t.Errorf("%v", err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	r, err := s.op.Get(context.Background(), "placement", "desk", 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, hotKeys(t, r), qt.Equals, operators*edits)
+}
+
+func hotKeys(t *testing.T, r record.Record) int {
+	n, err := redwingtally.Records().Newest(r)
+	qt.Check(t, err, qt.IsNil)
+	spec, err := decodePlacement(n)
+	qt.Check(t, err, qt.IsNil)
+	return spec
+}
+
+func TestApplyWithoutBaseIsRefused(t *testing.T) {
+	s := newSystem(t, 0)
+	text := "kind: placement\nname: desk\nschema_version: 2\nspec: {hot_keys: 1}\n"
+	qt.Assert(t, s.apply(text)[0].Change, qt.Equals, operator.ChangeCreated)
+	qt.Assert(t, s.apply(text)[0].Change, qt.Equals, operator.ChangeUnchanged)
+	other, err := record.Split("x", []byte("kind: placement\nname: desk\nschema_version: 2\nspec: {hot_keys: 2}\n"))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = s.op.Apply(context.Background(), other)
+	qt.Assert(t, eris.Is(err, operator.ErrNoBase), qt.IsTrue)
+	diffs, err := s.op.Diff(context.Background(), other)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, diffs[0].Lines, qt.DeepEquals, []string{"-   hot_keys: 1", "+   hot_keys: 2"})
+}
+
+// TestConfigurationReachesAllDaemons writes through restarts and an outage of
+// the store and asks every daemon for the version in force.
+func TestConfigurationReachesAllDaemons(t *testing.T) {
+	s := newSystem(t, 4)
+	tg := s.target(standin.TargetOptions{Name: "t"})
+	rec := serviceRecord("desk", undivided, []netip.AddrPort{tg.Address()})
+	s.apply(rec + policyRecord("desk"))
+	daemons := make([]*process, 0, 4)
+	for i := range 4 {
+		daemons = append(daemons, s.daemonProcess(i))
+	}
+	s.awaitHolder("desk")
+	seen := make([]uint64, 4)
+	await := func(version uint64) {
+		eventually(t, "all daemons have the version", func() bool {
+			all := true
+			for i := range 4 {
+				st, ok := s.status(i)
+				if !ok {
+					all = false
+					continue
+				}
+				qt.Assert(t, st.Records >= seen[i], qt.IsTrue, qt.Commentf("daemon %d went back", i))
+				seen[i] = st.Records
+				all = all && st.Records >= version
+			}
+			return all
+		})
+	}
+	for n := range 3 {
+		r, err := s.op.Get(context.Background(), "service", "desk", 0)
+		qt.Assert(t, err, qt.IsNil)
+		r.Spec = []byte(string(r.Spec[:len(r.Spec)-1]) + `,"note_` + itoa(n) + `":true}`)
+		results, err := s.op.Apply(context.Background(), []record.Record{r})
+		qt.Assert(t, err, qt.IsNil)
+		if n == 1 {
+			s.platform.SetFaults(standin.PlatformFaults{Down: true})
+			daemons[n].kill()
+			seen[n] = 0
+			daemons[n] = s.daemonProcess(n)
+			s.platform.SetFaults(standin.PlatformFaults{})
+		}
+		await(uint64(results[0].Version))
+	}
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -131,8 +131,7 @@
 	if !r.repeatable || !r.in.Body.Replayable() {
 		return w
 	}
-	var check func()
-	check = func() {
+	check := func() {
 		switch {
 		case w.ended.Load():
 		case e.stillHolds(r, h):
--- /dev/null
+++ b/lane/lane_test.go
@@ -0,0 +1,122 @@
+package lane
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+)
+
+// listen serves each request on a connection by f, which gets the number of
+// the request on all connections.
+func listen(t *testing.T, f func(n int32, c net.Conn)) (netip.AddrPort, *atomic.Int32) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = ln.Close() })
+	requests := &atomic.Int32{}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := bufio.NewReader(c)
+				for {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if strings.TrimSpace(line) == "" {
+						f(requests.Add(1), c)
+					}
+				}
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(ln.Addr().String()), requests
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestCallReusesTheConnection(t *testing.T) {
+	a, n := listen(t, func(_ int32, c net.Conn) { _, _ = io.WriteString(c, ok) })
+	p := NewPool(a, 1)
+	for range 3 {
+		r, err := p.Call(context.Background(), Call{Method: "GET", Path: "/"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(r.Body), qt.Equals, "ok")
+	}
+	qt.Assert(t, n.Load(), qt.Equals, int32(3))
+	qt.Assert(t, p.Drain(), qt.Equals, 1)
+}
+
+// TestNeverSendsTwice closes a used connection without an answer: hertz alone
+// would send an idempotent request again on a new connection.
+func TestNeverSendsTwice(t *testing.T) {
+	a, n := listen(t, func(n int32, c net.Conn) {
+		if n == 1 {
+			_, _ = io.WriteString(c, ok)
+			return
+		}
+		_ = c.Close()
+	})
+	p := NewPool(a, 1)
+	_, err := p.Call(context.Background(), Call{Method: "GET", Path: "/"})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = p.Call(context.Background(), Call{Method: "GET", Path: "/"})
+	qt.Assert(t, eris.Is(err, ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, n.Load(), qt.Equals, int32(2))
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	seen := make(chan struct{})
+	closed := make(chan struct{})
+	a, _ := listen(t, func(_ int32, c net.Conn) {
+		close(seen)
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-seen
+		cancel()
+	}()
+	_, err := NewPool(a, 1).Call(ctx, Call{Method: "GET", Path: "/"})
+	qt.Assert(t, eris.Is(err, ErrCanceled), qt.IsTrue, qt.Commentf("%v", err))
+	<-closed
+}
+
+func TestDeadline(t *testing.T) {
+	a, _ := listen(t, func(int32, net.Conn) {})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, err := NewPool(a, 1).Call(ctx, Call{Method: "GET", Path: "/"})
+	qt.Assert(t, eris.Is(err, ErrTimeout), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+func TestShortAnswerIsAnError(t *testing.T) {
+	a, _ := listen(t, func(_ int32, c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+		_ = c.Close()
+	})
+	_, err := NewPool(a, 1).Call(context.Background(), Call{Method: "GET", Path: "/"})
+	qt.Assert(t, eris.Is(err, ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+func TestNothingListens(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	a := netip.MustParseAddrPort(ln.Addr().String())
+	_ = ln.Close()
+	_, err = NewPool(a, 1).Call(context.Background(), Call{Method: "GET", Path: "/"})
+	qt.Assert(t, eris.Is(err, ErrDial), qt.IsTrue)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -172,6 +172,8 @@
 			return eris.Wrapf(ErrSpec, "classes[%d].queue_limit: %d is outside 1 to %d", i, c.QueueLimit, MaxQueue)
 		case c.Deadline.Duration <= 0 || c.Deadline.Duration > MaxDeadline:
 			return eris.Wrapf(ErrSpec, "classes[%d].deadline: %s is outside 0s to %s", i, c.Deadline, MaxDeadline)
+		case c.Deadline.Duration%time.Millisecond != 0, c.Ageing.Duration%time.Millisecond != 0:
+			return eris.Wrapf(ErrSpec, "classes[%d]: deadline and ageing are not whole milliseconds", i)
 		case c.Ageing.Duration <= 0 || c.Ageing.Duration > MaxDeadline:
 			return eris.Wrapf(ErrSpec, "classes[%d].ageing: %s is outside 0s to %s", i, c.Ageing, MaxDeadline)
 		}
