--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -37,7 +37,6 @@
 	Service   service.Spec   `json:"service"`
 	Placement placement.Spec `json:"placement"`
 	Policy    policy.Spec    `json:"policy"`
-	versions  [3]platform.Version
 }
 
 // A Problem is a record that is not in force.
@@ -86,14 +85,14 @@
 		listed[obj.Name] = true
 	}
 	c.mu.Lock()
-	gone := false
+	var gone []string
 	for key, obj := range c.objects {
 		if obj.Kind == kind && !obj.Deleted && !listed[obj.Name] {
 			obj.Deleted = true
 			c.objects[key] = obj
 			delete(c.good, obj.Name)
 			delete(c.problems, obj.Name)
-			gone = true
+			gone = append(gone, obj.Name)
 		}
 	}
 	c.mu.Unlock()
@@ -102,22 +101,28 @@
 
 // Apply takes objects of a kind that are newer than those in force and reports whether any was.
 func (c *Catalogue) Apply(kind string, objects []platform.Object) bool {
-	return c.apply(kind, objects, false)
+	return c.apply(kind, objects, nil)
 }
 
-func (c *Catalogue) apply(kind string, objects []platform.Object, changed bool) bool {
+// apply takes newer objects; gone are names of records that were deleted.
+func (c *Catalogue) apply(kind string, objects []platform.Object, gone []string) bool {
 	c.mu.Lock()
+	changed := len(gone) > 0
+	for _, name := range gone {
+		c.build(serviceOf(name))
+	}
 	if kind == ObjectKind && !c.ready {
 		c.ready = true
 		changed = true
 	}
 	for _, obj := range objects {
-		if c.take(obj) {
-			changed = true
+		if !c.take(obj) {
+			continue
+		}
+		changed = true
+		if obj.Kind == ObjectKind {
+			c.build(serviceOf(obj.Name))
 		}
-	}
-	if changed {
-		c.build()
 	}
 	watchers := append([]func(){}, c.watchers...)
 	c.mu.Unlock()
@@ -158,34 +163,32 @@
 	return true
 }
 
-// build makes the bundles anew; unchanged ones keep their identity.
-func (c *Catalogue) build() {
-	next := map[string]*Bundle{}
-	for name, r := range c.good {
-		if r.Kind != "service" {
-			continue
-		}
-		versions := [3]platform.Version{
-			c.objects[ObjectKind+"/"+name].Version,
-			c.objects[ObjectKind+"/"+ObjectName("placement", r.Name)].Version,
-			c.objects[ObjectKind+"/"+ObjectName("policy", r.Name)].Version,
-		}
-		if old, ok := c.bundles[r.Name]; ok && old.versions == versions {
-			next[r.Name] = old
-			continue
-		}
-		b := &Bundle{Name: r.Name, versions: versions, Policy: policy.Default()}
-		b.Version = uint64(max(versions[0], versions[1], versions[2]))
-		b.Service, _ = service.Decode(r.Spec)
-		if p, ok := c.good[ObjectName("placement", r.Name)]; ok {
-			b.Placement, _ = placement.Decode(p.Spec)
-		}
-		if p, ok := c.good[ObjectName("policy", r.Name)]; ok {
-			b.Policy, _ = policy.Decode(p.Spec)
-		}
-		next[r.Name] = b
+// build makes the bundle of one service anew.
+func (c *Catalogue) build(name string) {
+	r, ok := c.good[ObjectName("service", name)]
+	if !ok {
+		delete(c.bundles, name)
+		return
+	}
+	b := &Bundle{Name: name, Policy: policy.Default()}
+	for _, kind := range []string{"service", "placement", "policy"} {
+		obj := c.objects[ObjectKind+"/"+ObjectName(kind, name)]
+		b.Version = max(b.Version, uint64(obj.Version))
 	}
-	c.bundles = next
+	b.Service, _ = service.Decode(r.Spec)
+	if p, ok := c.good[ObjectName("placement", name)]; ok {
+		b.Placement, _ = placement.Decode(p.Spec)
+	}
+	if p, ok := c.good[ObjectName("policy", name)]; ok {
+		b.Policy, _ = policy.Decode(p.Spec)
+	}
+	c.bundles[name] = b
+}
+
+// serviceOf returns the service that a record's object is about.
+func serviceOf(objectName string) string {
+	_, name, _ := strings.Cut(objectName, ".")
+	return name
 }
 
 // Service returns what is in force for a service.
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -217,16 +219,27 @@
 }
 
 func BenchmarkDecision(b *testing.B) {
-	c := New(twoClasses())
-	for _, n := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
-		c.SetTarget(TargetSpec{Name: n, Slots: 2})
+	for _, targets := range []int{8, 64} {
+		for _, queued := range []int{100, 1000, 10000} {
+			b.Run(fmt.Sprintf("targets=%d/queued=%d", targets, queued), func(b *testing.B) { benchmarkDecision(b, targets, queued) })
+		}
+	}
+}
+
+// benchmarkDecision ends a request, adds another and picks the next.
+func benchmarkDecision(b *testing.B, targets, queued int) {
+	cfg := twoClasses()
+	cfg.Classes[1].QueueLimit = 2 * queued
+	c := New(cfg)
+	for i := range targets {
+		c.SetTarget(TargetSpec{Name: strconv.Itoa(i), Slots: 2})
 	}
 	warm(c, start)
 	now := start
-	for range 1000 {
+	for range queued {
 		c.Add(now, request(1, 0))
 	}
-	running := make([]*Request, 0, 16)
+	running := make([]*Request, 0, 2*targets)
 	for r, ok := c.Next(now); ok; r, ok = c.Next(now) {
 		running = append(running, r)
 	}
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -1,6 +1,8 @@
 package once
 
 import (
+	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -100,13 +102,23 @@
 	})
 }
 
-func BenchmarkTable(b *testing.B) {
-	tab := New(time.Time{})
-	for i := 0; b.Loop(); i++ {
-		at := now.Add(time.Duration(i) * time.Millisecond)
-		s, _ := NewID(at, nil)
-		tab.Admit(at, s)
-		tab.Finish(s, nil)
+// BenchmarkMemory measures the memory of an id for several sizes of a table.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{1000, 10000, 100000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				tab := New(time.Time{})
+				for range n {
+					s, _ := NewID(now, nil)
+					tab.Admit(now, s)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(tab.Len()), "bytes/id")
+			}
+		})
 	}
-	b.ReportMetric(float64(tab.Len()), "ids")
 }
