Measure the spread of a change, and choose the true holder in the failure rig

Cause: the rig picked the first daemon that claimed a group. A holder that was frozen claims it for a moment after it woke, so the next run froze a daemon that held nothing and showed 34 ms.

--- a/catalogue/catalogue_test.go
+++ b/catalogue/catalogue_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -144,10 +145,16 @@
 func BenchmarkApplyOneOf(b *testing.B) {
 	for _, n := range []int{100, 1000, 10000} {
 		b.Run(fmt.Sprintf("records=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
 			c := New(registry())
 			for i := range n {
 				c.Apply(ObjectKind, []platform.Object{object(fmt.Sprintf("s%d", i), platform.Version(i+1), 2)})
 			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			defer func() { b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "bytes/record") }()
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				c.Apply(ObjectKind, []platform.Object{object("s0", platform.Version(n+i+2), 2)})
--- a/e2e/cost_test.go
+++ b/e2e/cost_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -15,6 +16,7 @@
 
 	"github.com/redwingtally/redwingtally/internal/standin"
 	"github.com/redwingtally/redwingtally/operator"
+	"github.com/redwingtally/redwingtally/record"
 )
 
 // metrics reads the sums of a daemon's metrics by name.
@@ -55,20 +57,64 @@
 			for i := range n {
 				s.daemonProcess(i)
 			}
-			eventually(b, "all daemons know each other", func() bool {
-				for i := range n {
-					if st, ok := s.status(i); !ok || len(st.Alive) != n {
-						return false
-					}
-				}
-				return true
-			})
+			s.awaitAll()
 			time.Sleep(2 * time.Second)
 			s.measure(b, n, 10*time.Second)
 		})
 	}
 }
 
+// BenchmarkPropagation measures how long a change takes until it is in force on
+// every daemon, for several numbers of daemons.
+func BenchmarkPropagation(b *testing.B) {
+	for _, n := range []int{4, 8, 16, 32} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			s := newSystem(b, n)
+			t, err := standin.StartTarget(freePort(b), standin.TargetOptions{Name: "t"})
+			qt.Assert(b, err, qt.IsNil)
+			b.Cleanup(func() { stop(t.Stop) })
+			s.apply(serviceRecord("desk", undivided, []netip.AddrPort{t.Address()}) + policyRecord("desk"))
+			for i := range n {
+				s.daemonProcess(i)
+			}
+			s.awaitAll()
+			var all []time.Duration
+			for range b.N {
+				r, err := s.op.Get(context.Background(), "service", "desk", 0)
+				qt.Assert(b, err, qt.IsNil)
+				r.Spec = []byte(string(r.Spec[:len(r.Spec)-1]) + fmt.Sprintf(`,"note_%d":1}`, len(all)))
+				results, err := s.op.Apply(context.Background(), []record.Record{r})
+				qt.Assert(b, err, qt.IsNil)
+				began := time.Now()
+				eventually(b, "the change is in force everywhere", func() bool {
+					for i := range n {
+						if st, ok := s.status(i); !ok || st.Records < uint64(results[0].Version) {
+							return false
+						}
+					}
+					return true
+				})
+				all = append(all, time.Since(began))
+			}
+			slices.Sort(all)
+			b.ReportMetric(float64(all[len(all)/2].Milliseconds()), "median_ms")
+			b.ReportMetric(float64(all[len(all)-1].Milliseconds()), "worst_ms")
+		})
+	}
+}
+
+// awaitAll waits until every daemon knows every other.
+func (s *system) awaitAll() {
+	eventually(s.tb, "all daemons know each other", func() bool {
+		for i := range s.settings {
+			if st, ok := s.status(i); !ok || len(st.Alive) != len(s.settings) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // measure reports the cost for each daemon over a time.
 func (s *system) measure(b *testing.B, n int, d time.Duration) {
 	before := make([]map[string]float64, n)
--- a/e2e/rig_test.go
+++ b/e2e/rig_test.go
@@ -201,20 +201,24 @@
 	return st, err == nil && json.Unmarshal(data, &st) == nil
 }
 
-// holderOf returns the daemon that holds a service with all its shards owned, or -1.
+// holderOf returns the daemon that holds a service with all its shards owned,
+// or -1 while there is none or more than one says so: a holder that was frozen
+// learns of its successor only after it woke.
 func (s *system) holderOf(service string) int {
+	holder := -1
 	for i := range s.settings {
-		st, ok := s.status(i)
-		if !ok {
-			continue
-		}
+		st, _ := s.status(i)
 		for _, g := range st.Groups {
-			if g.Service == service && g.Unowned == 0 {
-				return i
+			switch {
+			case g.Service != service:
+			case g.Unowned > 0 || holder >= 0:
+				return -1
+			default:
+				holder = i
 			}
 		}
 	}
-	return -1
+	return holder
 }
 
 func (s *system) awaitHolder(service string) int {
--- a/holder/group.go
+++ b/holder/group.go
@@ -79,7 +79,7 @@
 	g := &Group{
 		d:       d,
 		name:    b.Name,
-		log:     d.Log.With("part", "holder", "service", b.Name),
+		log:     d.Log.With("service", b.Name),
 		targets: map[string]*target.Target{},
 		health:  map[string]*healthState{},
 		watches: map[*attemptWatch]struct{}{},
--- a/holder/manager.go
+++ b/holder/manager.go
@@ -174,7 +174,7 @@
 
 // Status returns the state of the groups that the daemon holds.
 func (m *Manager) Status() []Status {
-	var out []Status
+	out := []Status{}
 	for _, g := range m.All() {
 		if _, held := g.Holding(); held {
 			out = append(out, g.Status())
