--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -156,6 +156,14 @@
 }
 
 func TestCrashingRequestIsSetAsideAfterTwoTargets(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		t.Run(fmt.Sprintf("repeatable=%v", repeatable), func(t *testing.T) { crashUntilSetAside(t, repeatable) })
+	}
+}
+
+// crashUntilSetAside has a caller send a request again and again that crashes
+// each target that runs it, beside other work.
+func crashUntilSetAside(t *testing.T, repeatable bool) {
 	c := New(twoClasses())
 	for _, n := range []string{"a", "b", "c"} {
 		c.SetTarget(TargetSpec{Name: n, Slots: 2})
@@ -167,6 +175,7 @@
 	for range 5 {
 		bad := request(0, 0)
 		bad.Fingerprint = 666
+		bad.Repeatable = repeatable
 		if r := c.Add(now, bad); r != nil {
 			qt.Assert(t, r.Reason, qt.Equals, ReasonSetAside)
 			break
--- a/e2e/cost_test.go
+++ b/e2e/cost_test.go
@@ -78,7 +78,7 @@
 				s.daemonProcess(i)
 			}
 			s.awaitAll()
-			var all []time.Duration
+			all := make([]time.Duration, 0, b.N)
 			for range b.N {
 				r, err := s.op.Get(context.Background(), "service", "desk", 0)
 				qt.Assert(b, err, qt.IsNil)
--- a/grant/directed_test.go
+++ b/grant/directed_test.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 
 const ms = time.Millisecond
 
-// bench carries messages by hand between holders and four servers s0 to s3.
+// bench carries messages by hand between holders and servers, s0 and on.
 type bench struct {
 	now    time.Duration
 	voters []*Voter
@@ -19,8 +20,8 @@
 	lives  uint64
 }
 
-func newBench() *bench {
-	b := &bench{voters: make([]*Voter, 4), began: make([]time.Duration, 4)}
+func newBench(servers int) *bench {
+	b := &bench{voters: make([]*Voter, servers), began: make([]time.Duration, servers)}
 	for i := range b.voters {
 		b.restart(i)
 		b.began[i] = -time.Hour
@@ -37,7 +38,11 @@
 func (b *bench) time() time.Time { return time.Unix(1_000_000, 0).Add(b.now) }
 
 func (b *bench) holder(incarnation uint32, r rules) *Holder {
-	h := New(Config{Group: "g", Servers: []string{"s0", "s1", "s2", "s3"}, Epoch: 1, Checks: true, Shards: 1, Timing: DefaultTiming(), Incarnation: incarnation})
+	return b.holderOf(incarnation, r, "s0", "s1", "s2", "s3")
+}
+
+func (b *bench) holderOf(incarnation uint32, r rules, servers ...string) *Holder {
+	h := New(Config{Group: "g", Servers: servers, Epoch: 1, Checks: true, Shards: 1, Timing: DefaultTiming(), Incarnation: incarnation})
 	h.rules = r
 	return h
 }
@@ -46,6 +51,9 @@
 	if r.noRounds {
 		b.voters[i].round = 0
 	}
+	if r.noEpochs {
+		b.voters[i].epoch = 0
+	}
 	return b.voters[i].Handle(b.now-b.began[i], o)
 }
 
@@ -54,19 +62,21 @@
 func (b *bench) round(h *Holder, reach ...int) (map[int]Ack, map[int]Order) {
 	acks, orders := map[int]Ack{}, map[int]Order{}
 	out := h.Tick(b.time())
-	for i, o := range out.Orders {
-		orders[i] = o.Order
+	for _, o := range out.Orders {
+		orders[serverIndex(o.Server)] = o.Order
 	}
 	for _, i := range reach {
-		acks[i] = b.handle(i, orders[i], h.rules)
+		if o, ok := orders[i]; ok {
+			acks[i] = b.handle(i, o, h.rules)
+		}
 	}
 	return acks, orders
 }
 
 func (b *bench) deliver(h *Holder, acks map[int]Ack) {
-	for i := range 4 {
+	for i := range b.voters {
 		if a, ok := acks[i]; ok {
-			h.ServerAck(b.time(), []string{"s0", "s1", "s2", "s3"}[i], a)
+			h.ServerAck(b.time(), fmt.Sprintf("s%d", i), a)
 		}
 	}
 }
@@ -91,7 +101,7 @@
 
 // settled returns a bench at two seconds where h1 holds and s0 owns the shard.
 func settled(r rules) (*bench, *Holder) {
-	b := newBench()
+	b := newBench(4)
 	h := b.holder(1, r)
 	h.Want([]string{"s0"})
 	h.Campaign(b.time())
@@ -198,6 +208,37 @@
 	return b.owners()
 }
 
+// staleVoters: the set of voters changes step by step from s0, s1, s2 to s3, s4,
+// s5; then a daemon that knows only the first set seeks the group.
+func staleVoters(r rules) []int {
+	b := newBench(6)
+	all := []int{0, 1, 2, 3, 4, 5}
+	h1 := b.holderOf(1, rules{}, "s0", "s1", "s2")
+	h1.Want([]string{"s2"})
+	h1.Campaign(b.time())
+	b.rounds(h1, 2000*ms, all...)
+	steps := [][]string{
+		{"s0", "s1", "s2", "s3"}, {"s0", "s1", "s2", "s3", "s4"}, {"s0", "s1", "s2", "s3", "s4", "s5"},
+		{"s1", "s2", "s3", "s4", "s5"}, {"s2", "s3", "s4", "s5"}, {"s3", "s4", "s5"},
+	}
+	h1.Want([]string{"s3"})
+	for i, names := range steps {
+		h1.Reconfigure(b.time(), uint64(i+2), names)
+		b.rounds(h1, b.now+2000*ms, all...)
+	}
+	h2 := b.holderOf(2, r, "s0", "s1", "s2")
+	h2.Seen(h1.Term())
+	h2.Want([]string{"s0"})
+	h2.Campaign(b.time())
+	for end := b.now + 3000*ms; b.now < end; b.now += 50 * ms {
+		a1, _ := b.round(h1, 3, 4, 5)
+		b.deliver(h1, a1)
+		a2, _ := b.round(h2, 0, 1, 2)
+		b.deliver(h2, a2)
+	}
+	return b.owners()
+}
+
 func TestDirectedSchedules(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -205,6 +246,7 @@
 		schedule func(rules) []int
 	}{
 		{"R1 majority", rules{anyMajority: true}, splitVote},
+		{"epochs of voters", rules{noEpochs: true}, staleVoters},
 		{"R2 order of rounds", rules{noRounds: true}, crossedOrder},
 		{"R3 fresh evidence for a move", rules{staleMove: true}, func(r rules) []int { return takeover(r, false, false) }},
 		{"R3 evidence dated by the asking", rules{arrivalDates: true}, func(r rules) []int { return takeover(r, false, true) }},
--- a/grant/holder.go
+++ b/grant/holder.go
@@ -82,6 +82,7 @@
 	forgetPending bool // R7: lost orders are not counted when a lease lapses
 	arrivalDates  bool // R3: evidence is dated by the arrival of answers, not by the asking
 	noRounds      bool // R2: servers take orders of a term in any order
+	noEpochs      bool // servers take orders under any set of voters
 	storeOnly     bool // the other way: only the store votes
 }
 
--- a/grant/ownership_test.go
+++ b/grant/ownership_test.go
@@ -58,6 +58,7 @@
 			"resume server":  func(t *rapid.T) { w.resume(&w.servers[server(t)].process, "server") },
 			"restart server": func(t *rapid.T) { w.restartServer(server(t)) },
 			"restart daemon": func(t *rapid.T) { w.restartDaemon(daemon(t)) },
+			"change voters":  func(t *rapid.T) { w.changeVoters(daemon(t)) },
 			"cut": func(t *rapid.T) {
 				w.cut[link(fmt.Sprintf("d%d", daemon(t)), fmt.Sprintf("s%d", server(t)))] = true
 			},
--- a/grant/world_test.go
+++ b/grant/world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -67,6 +68,12 @@
 	g()
 }
 
+// voterSet is a set of voters as the store records it.
+type voterSet struct {
+	epoch uint64
+	names []string
+}
+
 type daemon struct {
 	process
 	h           *Holder
@@ -102,7 +109,10 @@
 		slow    time.Duration
 		loseOne bool
 		term    Term
+		config  voterSet
 	}
+	// configs are all sets of voters so far.
+	configs   []voterSet
 	trace     []string
 	violation string
 	// served sums over shards the time for which a holder could serve them.
@@ -110,11 +120,16 @@
 	writes int
 	reads  int
 	lives  uint64
+	// changing says that random faults change the set of voters too.
+	changing bool
 }
 
+// spares is how many servers are not voters at first.
+const spares = 2
+
 func newWorld(seed uint64, servers int, r rules) *world {
 	w := &world{random: rand.New(rand.NewPCG(seed, 7)), rules: r, timing: DefaultTiming(), shards: 4, cut: map[string]bool{}}
-	for i := range servers {
+	for i := range servers + spares {
 		s := &fakeServer{process: w.process()}
 		w.servers = append(w.servers, s)
 		w.names = append(w.names, fmt.Sprintf("s%d", i))
@@ -122,6 +137,7 @@
 		s.began = -time.Hour
 		s.voter = w.newVoter()
 	}
+	w.record(voterSet{epoch: 1, names: w.names[:servers]})
 	for range 3 {
 		d := &daemon{process: w.process()}
 		w.daemons = append(w.daemons, d)
@@ -131,6 +147,11 @@
 	return w
 }
 
+func (w *world) record(v voterSet) {
+	w.store.config = v
+	w.configs = append(w.configs, v)
+}
+
 func (w *world) newVoter() *Voter {
 	w.lives++
 	return NewVoter(w.lives)
@@ -145,7 +166,12 @@
 	d.incarnation = uint32(w.lives)
 	d.life++
 	d.held = nil
-	d.h = New(Config{Group: "g", Servers: w.names, Epoch: 1, Checks: true, Shards: w.shards, Timing: w.timing, Incarnation: d.incarnation})
+	known := w.store.config
+	if w.store.down {
+		// A peer may know an older set.
+		known = w.configs[w.random.IntN(len(w.configs))]
+	}
+	d.h = New(Config{Group: "g", Servers: known.names, Epoch: known.epoch, Checks: true, Shards: w.shards, Timing: w.timing, Incarnation: d.incarnation})
 	d.h.rules = w.rules
 	d.h.Want(w.assignment())
 }
@@ -183,14 +209,64 @@
 func (w *world) tick(d *daemon) {
 	out := d.h.Tick(d.clock(w.t))
 	for _, o := range out.Orders {
-		w.send(d, w.index(o.Server), o.Order)
+		w.send(d, serverIndex(o.Server), o.Order)
 	}
 	if out.FenceStore || out.ReadStore {
 		w.callStore(d, out)
 	}
+	if d.h.StaleEpoch() && !w.store.down {
+		w.reconfigure(d, w.store.config)
+	}
+}
+
+// reconfigure tells a daemon of a set of voters after a delay.
+func (w *world) reconfigure(d *daemon, v voterSet) {
+	life := d.life
+	w.at(w.delay(), func() {
+		if d.life != life {
+			return
+		}
+		d.deliver(func() {
+			if _, epoch := d.h.Servers(); v.epoch > epoch {
+				d.h.Reconfigure(d.clock(w.t), v.epoch, v.names)
+			}
+		})
+	})
+}
+
+// changeVoters has a holder add or remove one voter, recorded under its term.
+func (w *world) changeVoters(i int) {
+	d := w.daemons[i]
+	if d.paused || d.h.Phase() != PhaseHolding {
+		return
+	}
+	term := d.h.Term()
+	names, epoch := d.h.Servers()
+	next := w.names[w.random.IntN(len(w.names))]
+	if at := slices.Index(names, next); at >= 0 && len(names) > 1 {
+		names = slices.Delete(names, at, at+1)
+	} else if at < 0 {
+		names = append(names, next)
+	}
+	w.at(w.delay(), func() {
+		if w.store.down || w.store.term > term || w.store.config.epoch != epoch {
+			return
+		}
+		w.store.term = term
+		w.writes++
+		v := voterSet{epoch: epoch + 1, names: names}
+		w.record(v)
+		w.note("voters are %v at epoch %d", names, v.epoch)
+		if w.store.loseOne {
+			w.store.loseOne = false
+			return
+		}
+		w.reconfigure(d, v)
+	})
 }
 
-func (w *world) index(name string) int {
+// serverIndex returns the number in a server's name.
+func serverIndex(name string) int {
 	var i int
 	_, _ = fmt.Sscanf(name, "s%d", &i)
 	return i
@@ -229,6 +305,9 @@
 			if w.rules.noRounds {
 				s.voter.round = 0
 			}
+			if w.rules.noEpochs {
+				s.voter.epoch = 0
+			}
 			a := s.voter.Handle(s.reading(w.t), o)
 			if a.Applied && len(o.Shards) > 0 {
 				w.note("%s took %v from %s under %s", w.names[i], o.Shards, name, o.Term)
@@ -268,7 +347,7 @@
 			w.store.term = out.Term
 			w.writes++
 		}
-		ack := StoreAck{Asked: asked, Term: w.store.term, Epoch: 1}
+		ack := StoreAck{Asked: asked, Term: w.store.term, Epoch: w.store.config.epoch}
 		if w.store.loseOne {
 			w.store.loseOne = false
 			return
@@ -322,7 +401,7 @@
 			if !ok || d.paused {
 				continue
 			}
-			s := w.servers[w.index(o.Server)]
+			s := w.servers[serverIndex(o.Server)]
 			if !s.paused && s.voter.Owns(s.reading(w.t), shard) {
 				w.served += passed
 				break
@@ -387,7 +466,7 @@
 func (w *world) chaos() {
 	d, s := w.random.IntN(len(w.daemons)), w.random.IntN(len(w.servers))
 	dn, sn := fmt.Sprintf("d%d", d), fmt.Sprintf("s%d", s)
-	switch w.random.IntN(16) {
+	switch w.random.IntN(17) {
 	case 0, 1, 2:
 		w.campaign(d)
 	case 3, 4:
@@ -411,6 +490,10 @@
 		w.cut[link(sn, dn)] = w.random.IntN(2) == 0
 	case 14:
 		clear(w.cut)
+	case 16:
+		if w.changing {
+			w.changeVoters(d)
+		}
 	case 15:
 		w.store.down = !w.store.down
 		w.store.loseOne = w.random.IntN(2) == 0
@@ -421,6 +504,7 @@
 func wild(seed uint64, servers int, r rules, d time.Duration) *world {
 	w := newWorld(seed, servers, r)
 	w.lossy, w.slow, w.repeat = 20, 60, 50
+	w.changing = seed%2 == 1
 	for w.t < d && w.violation == "" {
 		w.chaos()
 		w.run(time.Duration(5+w.random.IntN(150)) * time.Millisecond)
--- /dev/null
+++ b/holder/ids_test.go
@@ -0,0 +1,116 @@
+package holder
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	qt "github.com/frankban/quicktest"
+	"github.com/panjf2000/ants/v2"
+
+	"github.com/redwingtally/redwingtally/catalogue"
+	"github.com/redwingtally/redwingtally/dispatch"
+	"github.com/redwingtally/redwingtally/grant"
+	"github.com/redwingtally/redwingtally/host"
+	"github.com/redwingtally/redwingtally/internal/standin"
+	"github.com/redwingtally/redwingtally/metric"
+	"github.com/redwingtally/redwingtally/once"
+	"github.com/redwingtally/redwingtally/platform"
+	"github.com/redwingtally/redwingtally/policy"
+	"github.com/redwingtally/redwingtally/record"
+	"github.com/redwingtally/redwingtally/refusal"
+	"github.com/redwingtally/redwingtally/service"
+	"github.com/redwingtally/redwingtally/target"
+)
+
+func stopLater(t *testing.T, stop func(context.Context) error) {
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_ = stop(ctx)
+	})
+}
+
+// onceGroup is a running group with one target and once-only requests; note
+// answers for the keepers.
+func onceGroup(t *testing.T, note func(once.Note) bool) (*Group, *standin.Target) {
+	anywhere := netip.MustParseAddrPort("127.0.0.1:0")
+	p, err := standin.StartPlatform(anywhere, standin.PlatformOptions{})
+	qt.Assert(t, err, qt.IsNil)
+	stopLater(t, p.Stop)
+	tg, err := standin.StartTarget(anywhere, standin.TargetOptions{Name: "t"})
+	qt.Assert(t, err, qt.IsNil)
+	stopLater(t, tg.Stop)
+	workers, err := ants.NewPool(64)
+	qt.Assert(t, err, qt.IsNil)
+	self := host.Host{Name: "a", Incarnation: 1}
+	spec := policy.Default()
+	spec.Routes = []policy.Route{{Prefix: "/", Class: "default", OnceOnly: true}}
+	spec.Classes[0].Deadline = record.Duration{Duration: 3 * time.Second}
+	g := newGroup(Dependencies{
+		Log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Store:   platform.New(p.Address()),
+		Metrics: metric.New(),
+		Workers: workers,
+		Self:    func() host.Host { return self },
+		Alive:   func() []host.Host { return []host.Host{self, {Name: "b"}, {Name: "c"}} },
+		Changed: func() {},
+		Note:    func(_ context.Context, _ Keeper, n once.Note) (bool, error) { return note(n), nil },
+		Recall: func(context.Context, Keeper, string, grant.Term, grant.Term) (once.Recalled, bool, error) {
+			return once.Recalled{}, false, nil
+		},
+		SetAside: func(string, dispatch.SetAside) {},
+		Timing:   grant.DefaultTiming(),
+	}, &catalogue.Bundle{
+		Name: "desk",
+		Service: service.Spec{
+			Targets:              []service.Target{{Name: "t", Address: tg.Address(), DataCentre: "x"}},
+			SlotsPerTarget:       2,
+			ConnectionsPerTarget: 2,
+		},
+		Policy: spec,
+	})
+	g.start()
+	t.Cleanup(g.stop)
+	g.Seek(time.Now(), 0)
+	return g, tg
+}
+
+func serveOnce(t *testing.T, g *Group) (*app.RequestContext, string) {
+	id, err := once.NewID(time.Now(), nil)
+	qt.Assert(t, err, qt.IsNil)
+	c := app.NewContext(0)
+	body, err := NewBody(c)
+	qt.Assert(t, err, qt.IsNil)
+	g.Serve(context.Background(), c, Incoming{Method: "POST", Path: "/", RequestID: id, Arrived: time.Now(), Body: body})
+	return c, id
+}
+
+func TestOnceOnlyRequestWaitsForItsKeepers(t *testing.T) {
+	g, tg := onceGroup(t, func(once.Note) bool { return true })
+	c, id := serveOnce(t, g)
+	qt.Assert(t, c.Response.StatusCode(), qt.Equals, 200, qt.Commentf("%s", c.Response.Body()))
+	qt.Assert(t, tg.Runs()[id], qt.Equals, 1)
+}
+
+func TestOnceOnlyRequestIsNotSentWhenKeepersRefuse(t *testing.T) {
+	// A successor has taken the group: the keepers refuse, and the store has its term.
+	var g *Group
+	var tg *standin.Target
+	g, tg = onceGroup(t, func(n once.Note) bool {
+		if n.Baseline {
+			return true
+		}
+		_, err := updateObject(context.Background(), g.d.Store, "desk", n.Term.After(9), func(o *GroupObject) { o.Term = n.Term.After(9) })
+		qt.Check(t, err, qt.IsNil)
+		return false
+	})
+	c, id := serveOnce(t, g)
+	qt.Assert(t, c.Response.StatusCode() >= 400, qt.IsTrue)
+	qt.Assert(t, tg.Runs()[id], qt.Equals, 0)
+	qt.Assert(t, string(c.Response.Header.Peek(target.NotRunHeader)), qt.Not(qt.Equals), string(refusal.NotRunFalse))
+}
