Give hot keys a shard of their own

Ruled out: splitting the shard, which moves its other keys too; and a map that the holder keeps for itself, which its successor would not know.

Change: a bounded sketch finds keys that bring more than half a target's mean share, two windows of 10 s in a row. Such a key gets a shard numbered after the others. The map stands in the group's object before it is used, nothing runs for the key while it changes, a new holder reads the object under its own term first (or waits until no older lease can live), and servers refuse a lower term.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -282,12 +282,12 @@
 	c.suspects.entries[s.Fingerprint] = suspect{setAside: true, until: s.Until}
 }
 
-// Reassign gives waiting requests of shards to the owners that owner returns:
-// the index of a target or NoOwner.
-func (c *Core) Reassign(owner func(shard int) int) {
+// Reassign asks owner for the owner of every waiting request of a divided
+// service: the index of a target or NoOwner. owner may change the request's shard.
+func (c *Core) Reassign(owner func(r *Request) int) {
 	for _, r := range c.alone {
 		if r.Shard >= 0 {
-			r.Owner = owner(r.Shard)
+			r.Owner = owner(r)
 		}
 	}
 	for k := range c.classes {
@@ -296,7 +296,7 @@
 			if r.Shard < 0 {
 				return
 			}
-			o := owner(r.Shard)
+			o := owner(r)
 			if o == r.Owner {
 				return
 			}
@@ -354,11 +354,11 @@
 // Running returns the number of running requests.
 func (c *Core) Running() int { return len(c.running) }
 
-// RunningOn returns how many running requests are of a shard.
-func (c *Core) RunningOn(shard int) int {
+// RunningWhere returns how many running requests f holds for.
+func (c *Core) RunningWhere(f func(*Request) bool) int {
 	n := 0
 	for r := range c.running {
-		if r.Shard == shard {
+		if f(r) {
 			n++
 		}
 	}
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -211,7 +211,7 @@
 			"drain":    o.drain,
 			"reassign": func(t *rapid.T) {
 				owner := rapid.SliceOfN(rapid.SampledFrom([]int{NoOwner, 0, 1, 2}), fuzzShards, fuzzShards).Draw(t, "owners")
-				o.core.Reassign(func(s int) int { return owner[s] })
+				o.core.Reassign(func(r *Request) int { return owner[r.Shard] })
 			},
 			"reconfigure": func(t *rapid.T) {
 				cfg := o.core.cfg
--- a/e2e/failover_test.go
+++ b/e2e/failover_test.go
@@ -211,6 +211,9 @@
 	}
 }
 
+// highestTerm is a term that no server refuses.
+const highestTerm = "18446744073709551615"
+
 func TestFrozenServerComesBackAndServesNothing(t *testing.T) {
 	d := newDivided(t, 2, true)
 	keys := shardKeys(32)
@@ -222,7 +225,7 @@
 	d.targets[0].signal(syscall.SIGCONT)
 	for shard := range keys {
 		// Past the router, the server itself must refuse what it owned before.
-		r, err := call(d.addresses[0], "GET", "/pages", settleTime, [2]string{target.ShardHeader, strconv.Itoa(shard)})
+		r, err := call(d.addresses[0], "GET", "/pages", settleTime, [2]string{target.ShardHeader, strconv.Itoa(shard)}, [2]string{target.TermHeader, highestTerm})
 		qt.Assert(t, err, qt.IsNil)
 		if st, _ := d.status(d.holder); len(st.Groups) > 0 && st.Groups[0].Owners["stockroom-1"] == 0 {
 			qt.Assert(t, r.Status, qt.Equals, 503)
--- a/e2e/rig_test.go
+++ b/e2e/rig_test.go
@@ -152,12 +152,12 @@
 }
 
 // daemon starts daemon i in the test's own process.
-func (s *system) daemon(i int) {
+func (s *system) daemon(i int, opts ...redwingtally.Option) {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	if os.Getenv("E2E_LOGS") != "" {
 		log = slog.Default()
 	}
-	d, err := redwingtally.New(s.settings[i], redwingtally.WithLogger(log))
+	d, err := redwingtally.New(s.settings[i], append(opts, redwingtally.WithLogger(log))...)
 	qt.Assert(s.tb, err, qt.IsNil)
 	qt.Assert(s.tb, d.Start(context.Background()), qt.IsNil)
 	s.tb.Cleanup(func() { stop(d.Shutdown) })
--- a/holder/attempt.go
+++ b/holder/attempt.go
@@ -29,7 +29,7 @@
 		return t, "", true
 	}
 	o, ok := g.holder.Owner(time.Now(), j.req.Shard)
-	if !ok || o.Server != name || g.moving[j.req.Shard] {
+	if !ok || o.Server != name || g.moving[j.req.Shard] || g.hot.changing[j.in.Key] || g.shardOf(j.in.Key) != j.req.Shard {
 		return nil, "", false
 	}
 	return t, strconv.FormatUint(uint64(o.Term), 10), true
@@ -94,7 +94,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	if j.req.Shard >= 0 {
-		j.req.Owner = g.ownerIndex(j.req.Shard)
+		j.req.Owner = g.owner(&j.req)
 	}
 	v := g.core.Done(now, &j.req, result)
 	g.pump(now)
--- a/holder/group.go
+++ b/holder/group.go
@@ -39,6 +39,8 @@
 	Recall func(ctx context.Context, k Keeper, group string, term, noted grant.Term) (once.Recalled, bool, error)
 	// SetAside tells peers of a request that is set aside.
 	SetAside func(group string, s dispatch.SetAside)
+	// HotWindow is the time over which the traffic of keys is counted.
+	HotWindow time.Duration
 	// Timing holds the periods of ownership.
 	Timing grant.Timing
 }
@@ -66,6 +68,7 @@
 	watches  map[*attemptWatch]struct{}
 
 	ids    idKeeper
+	hot    hotKeys
 	wake   chan struct{}
 	work   chan struct{}
 	cancel context.CancelFunc
@@ -88,6 +91,7 @@
 		ended:   make(chan struct{}),
 	}
 	g.ids.init()
+	g.hot.init()
 	g.apply(b)
 	return g
 }
@@ -216,14 +220,25 @@
 	if x == nil || y == nil {
 		return x == y
 	}
-	return x.Shards == y.Shards && x.ChecksGrants == y.ChecksGrants
+	return *shape(a) == *shape(b)
+}
+
+// shape is what a holder's tables depend on.
+func shape(b *catalogue.Bundle) *groupShape {
+	d := b.Service.Division
+	return &groupShape{shards: d.Shards, checks: d.ChecksGrants, hot: b.Placement.HotKeys}
+}
+
+type groupShape struct {
+	shards, hot int
+	checks      bool
 }
 
 // newHolder starts over with an idle holder; a changed division leaves old leases to lapse.
 func (g *Group) newHolder(b *catalogue.Bundle) {
 	cfg := grant.Config{Group: b.Name, Timing: g.d.Timing, Incarnation: g.d.Self().Incarnation}
 	if d := b.Service.Division; d != nil {
-		cfg.Shards = d.Shards
+		cfg.Shards = d.Shards + g.hotLimit()
 		cfg.Checks = d.ChecksGrants
 	}
 	seen := grant.Term(0)
--- a/holder/object.go
+++ b/holder/object.go
@@ -33,6 +33,8 @@
 	Voters []Voter `json:"voters,omitempty"`
 	// Owners lists the owner of each shard as last recorded.
 	Owners []string `json:"owners,omitempty"`
+	// Hot lists the keys that have a shard of their own.
+	Hot []HotKey `json:"hot,omitempty"`
 	// NotedTerm is the term whose request ids the keepers keep.
 	NotedTerm grant.Term `json:"noted_term,omitempty"`
 	Keepers   []Keeper   `json:"keepers,omitempty"`
--- a/holder/record.go
+++ b/holder/record.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/redwingtally/redwingtally/dispatch"
 	"github.com/redwingtally/redwingtally/grant"
 	"github.com/redwingtally/redwingtally/platform"
 )
@@ -41,9 +42,11 @@
 	g.recorded.at = time.Now()
 	g.mu.Unlock()
 	if err != nil && obj.Term <= term {
+		g.step(func(time.Time) { g.hotRecorded(false) })
 		return
 	}
 	g.step(func(now time.Time) {
+		g.hotRecorded(err == nil)
 		g.learn(now, obj)
 		g.holder.Seen(obj.Term)
 	})
@@ -55,6 +58,9 @@
 	if d == nil {
 		return nil, false
 	}
+	if change, ok := g.nextHot(now); ok {
+		return change, true
+	}
 	if !d.ChecksGrants {
 		return g.nextMove(now, d.Shards)
 	}
@@ -66,12 +72,22 @@
 		}, true
 	}
 	owners := g.holder.Owners()
-	if slices.Contains(owners, "") || g.object.Term == g.holder.Term() && slices.Equal(owners, g.object.Owners) {
+	if !g.whole(owners) || g.object.Term == g.holder.Term() && slices.Equal(owners, g.object.Owners) {
 		return nil, false
 	}
 	return func(o *GroupObject) { o.Owners = owners }, true
 }
 
+// whole reports whether all shards in use have owners.
+func (g *Group) whole(owners []string) bool {
+	for _, i := range g.usedShards() {
+		if i >= len(owners) || owners[i] == "" {
+			return false
+		}
+	}
+	return true
+}
+
 // nextVoters returns a set of voters that is one server nearer to the service
 // record, and false when the set is that of the record. Sets that differ by one
 // server share a voter in any two majorities.
@@ -99,7 +115,7 @@
 // grants. Shards that move get no new work until what runs has ended.
 func (g *Group) nextMove(now time.Time, shards int) (func(*GroupObject), bool) {
 	next := g.assignment(now, shards)
-	if slices.Contains(next, "") || slices.Equal([]string(next), g.object.Owners) {
+	if !g.whole(next) || slices.Equal([]string(next), g.object.Owners) {
 		g.moving = nil
 		return nil, false
 	}
@@ -108,7 +124,7 @@
 	for s := range next {
 		if s >= len(g.object.Owners) || g.object.Owners[s] != next[s] {
 			moving[s] = true
-			busy = busy || g.core.RunningOn(s) > 0
+			busy = busy || g.core.RunningWhere(func(r *dispatch.Request) bool { return r.Shard == s }) > 0
 		}
 	}
 	g.moving = moving
@@ -126,6 +142,7 @@
 	Records   uint64           `json:"records_version"`
 	Owners    map[string]int   `json:"shards_by_target,omitempty"`
 	Unowned   int              `json:"unowned_shards"`
+	Hot       []HotKey         `json:"hot_keys,omitempty"`
 	Queued    int              `json:"queued"`
 	Running   int              `json:"running"`
 	InFlight  int64            `json:"in_flight"`
@@ -157,9 +174,10 @@
 		Recorded:  g.object.Term == g.holder.Term(),
 		RequestID: g.ids.status(),
 	}
-	if d := g.bundle.Service.Division; d != nil {
+	if g.bundle.Service.Division != nil {
+		s.Hot = g.hot.list(g.hot.slots)
 		s.Owners = map[string]int{}
-		for i := range d.Shards {
+		for _, i := range g.usedShards() {
 			if o, ok := g.holder.Owner(time.Now(), i); ok {
 				s.Owners[o.Server]++
 			} else {
--- a/holder/rounds.go
+++ b/holder/rounds.go
@@ -112,7 +112,7 @@
 		g.phaseChanged(now, after)
 	}
 	g.countUnserved(now)
-	g.core.Reassign(g.ownerIndex)
+	g.core.Reassign(g.owner)
 	g.takeBackLost()
 	g.pump(now)
 }
@@ -151,7 +151,7 @@
 		return
 	}
 	missing := 0
-	for i := range d.Shards {
+	for _, i := range g.usedShards() {
 		if _, ok := g.holder.Owner(now, i); !ok {
 			missing++
 		}
@@ -208,12 +208,12 @@
 		Pins:    g.bundle.Placement.Pins,
 	})
 	g.d.Metrics.Imbalance.WithLabelValues(g.name).Set(placement.Imbalance(next, len(available)))
-	return next
+	return g.placeHot(next, available)
 }
 
 // current returns the present owners; shards without one keep the recorded owner.
 func (g *Group) current(shards int) placement.Assignment {
-	out := placement.Assignment(g.holder.Owners())
+	out := placement.Assignment(g.holder.Owners()[:shards])
 	for i := range min(shards, len(g.object.Owners)) {
 		if out[i] == "" {
 			out[i] = g.object.Owners[i]
@@ -306,6 +306,7 @@
 	if obj.Epoch < g.object.Epoch || obj.Term < g.object.Term {
 		return
 	}
+	g.adoptHot(obj)
 	newer := obj.Epoch > g.object.Epoch
 	g.object = obj
 	if newer {
--- a/holder/serve.go
+++ b/holder/serve.go
@@ -69,7 +69,7 @@
 	j.req = dispatch.Request{
 		Class:       m.Class,
 		Route:       m.Route,
-		Shard:       g.bundle.Service.Shard(in.Key),
+		Shard:       g.shardOf(in.Key),
 		Owner:       dispatch.AnyTarget,
 		Deadline:    in.Arrived.Add(budget),
 		Repeatable:  j.route.Repeatable,
@@ -78,7 +78,10 @@
 		Value:       j,
 	}
 	if j.req.Shard >= 0 {
-		j.req.Owner = g.ownerIndex(j.req.Shard)
+		j.req.Owner = g.owner(&j.req)
+		if g.hotLimit() > 0 {
+			g.hot.finder.Add(in.Key)
+		}
 	}
 	return j, nil
 }
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -42,6 +42,9 @@
 	Cold int
 	// Journal is a file to which the target appends the id of each request that it runs.
 	Journal string
+	// Began is called when a request for a key begins to run; what it returns is
+	// called at the end. It may be nil.
+	Began func(target, key string) func()
 	// Crash is called for a request with the crash header; nil exits the process.
 	Crash func()
 }
@@ -216,6 +219,9 @@
 		return
 	}
 	defer func() { <-t.slots }()
+	if t.o.Began != nil {
+		defer t.o.Began(t.o.Name, string(c.GetHeader("Redwing-Key")))()
+	}
 	t.run(ctx, c)
 }
 
@@ -238,8 +244,9 @@
 		return ""
 	}
 	shard, err := strconv.Atoi(string(c.GetHeader(target.ShardHeader)))
-	if err != nil || !t.voter.Owns(time.Since(t.started), shard) {
-		return "not_owner"
+	term, termErr := strconv.ParseUint(string(c.GetHeader(target.TermHeader)), 10, 64)
+	if err != nil || termErr != nil || grant.Term(term) < t.voter.Term() || !t.voter.Owns(time.Since(t.started), shard) {
+		return target.ReasonNotOwner
 	}
 	return ""
 }
--- a/options.go
+++ b/options.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"time"
 
 	"github.com/redwingtally/redwingtally/grant"
 	"github.com/redwingtally/redwingtally/host"
@@ -21,9 +22,14 @@
 	incarnation uint32
 	grantTiming grant.Timing
 	hostTiming  host.Timing
+	hotWindow   time.Duration
 	services    []kernel.Service
 }
 
+// defaultHotWindow is the time over which the traffic of keys is counted; a key
+// moves after two hot windows.
+const defaultHotWindow = 10 * time.Second
+
 func defaultOptions(s settings.Settings) options {
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(s.LogLevel))
@@ -33,6 +39,7 @@
 		incarnation: rand.Uint32() | 1,
 		grantTiming: grant.DefaultTiming(),
 		hostTiming:  host.DefaultTiming(),
+		hotWindow:   defaultHotWindow,
 	}
 }
 
@@ -56,6 +63,11 @@
 	return func(o *options) { o.hostTiming = t }
 }
 
+// WithHotWindow sets the time over which the traffic of keys is counted.
+func WithHotWindow(d time.Duration) Option {
+	return func(o *options) { o.hotWindow = d }
+}
+
 // WithService registers a further service with the kernel.
 func WithService(s kernel.Service) Option {
 	return func(o *options) { o.services = append(o.services, s) }
