Tell a peer at once when its heartbeats become slow

Cause: the failure rig froze a daemon that held nothing: after a frozen holder woke, a third daemon took the group. It had had fast heartbeats while the woken one was away; when it was no successor any more the next came after 1 s, though the last had promised 100 ms, and the silence passed for a loss. TestEveryHeartbeatKeepsItsPromise failed first: heartbeat 29 came 1 s after one that promised 100 ms. Ruled out: a longer suspicion, which every true loss would pay for. Change: the first heartbeat after the fast ones goes out at once and promises the slow interval.

--- a/cell/beat.go
+++ b/cell/beat.go
@@ -12,7 +12,9 @@
 
 // link sends heartbeats to one daemon, one at a time.
 type link struct {
-	due  time.Time
+	due time.Time
+	// fast says that the last heartbeat promised the next soon.
+	fast bool
 	next chan peer.Beat
 }
 
@@ -77,9 +79,12 @@
 		c.links[a] = l
 		c.wg.Go(func() { c.send(c.ctx, a, l) })
 	}
-	if !all && !fast && now.Before(l.due) {
+	// A peer that is no successor any more is told of the slow interval at once;
+	// it would take the silence for a loss otherwise.
+	if !all && !fast && !l.fast && now.Before(l.due) {
 		return
 	}
+	l.fast = fast
 	b.Interval = c.d.Timing.Slow
 	if fast {
 		b.Interval = c.d.Timing.Interval
