Keep keys at an unchecked target until work of unknown fate has ended

Cause: a target that checks nothing and only seems lost works on. Its keys went to another target as soon as health checks failed, while the first still ran a request for them. A successor could also move keys while the earlier holder's requests still ran, and even while it still sent. Ruled out: going by health alone, which lies; stopping the whole group, since only the shards of that target are in doubt. Change: a request that was given up keeps its target's shards in place until its deadline; after a takeover shards stay until the longest deadline of the policy; a refused connection proves that the process is gone and ends the wait.

--- a/e2e/hot_test.go
+++ b/e2e/hot_test.go
@@ -54,6 +54,12 @@
 	return o.last[key]
 }
 
+func (o *owners) runs(key string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.running[key]) > 0
+}
+
 // TestHotKeyMovesAlone sends much for one key: it moves to a target of its own
 // without a moment on two, other keys stay, and it goes back when it is cool.
 func TestHotKeyMovesAlone(t *testing.T) {
@@ -80,12 +86,12 @@
 	}
 	holder := s.awaitHolder("desk")
 	keys := shardKeys(32)
-	ask := func(key string) {
-		// Work makes sure that something runs for the key at any moment.
-		r, err := call(s.entries[1-holder], "GET", "/desk/pages", settleTime, [2]string{entry.KeyHeader, key}, [2]string{standin.WorkHeader, "6ms"})
+	askFor := func(key, work string) {
+		r, err := call(s.entries[1-holder], "GET", "/desk/pages", settleTime, [2]string{entry.KeyHeader, key}, [2]string{standin.WorkHeader, work})
 		qt.Check(t, err, qt.IsNil)
 		qt.Check(t, r.Status, qt.Equals, 200, qt.Commentf("%s", r.Body))
 	}
+	ask := func(key string) { askFor(key, "6ms") }
 	before := map[string]string{}
 	for _, k := range keys {
 		ask(k)
@@ -97,10 +103,16 @@
 	qt.Assert(t, was, qt.Equals, before[keys[service.ShardOf(hot, 32)]])
 	var stop atomic.Bool
 	var wg sync.WaitGroup
-	for range 8 {
+	for i := range 9 {
+		// Something runs for the key at any moment, and some of it for longer
+		// than a move takes.
+		work := "6ms"
+		if i == 0 {
+			work = "500ms"
+		}
 		wg.Go(func() {
 			for !stop.Load() {
-				ask(hot)
+				askFor(hot, work)
 			}
 		})
 	}
--- a/holder/attempt.go
+++ b/holder/attempt.go
@@ -127,6 +127,7 @@
 	result, r := g.classify(j, t, err, takenBack)
 	if r.NotRun != refusal.NotRunTrue {
 		j.mayHaveRun = true
+		g.giveUp(t.Name, j)
 	}
 	if g.done(j, result) == dispatch.VerdictRequeued {
 		return false
@@ -138,6 +139,16 @@
 	return true
 }
 
+// giveUp notes that a request of unknown fate was left at a target.
+func (g *Group) giveUp(target string, j *job) {
+	if j.req.Shard < 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unsettled.note(target, j.req.Deadline)
+}
+
 // classify says what an error of a target means.
 func (g *Group) classify(j *job, t *target.Target, err error, takenBack bool) (dispatch.Result, refusal.Refusal) {
 	switch {
@@ -179,6 +190,7 @@
 		if err != nil {
 			result, notRun = bodyFailure(ctx), refusal.NotRunUnknown
 			a.Abort()
+			g.giveUp(a.Target(), j)
 		} else {
 			a.Finish(resp)
 		}
--- a/holder/group.go
+++ b/holder/group.go
@@ -67,6 +67,10 @@
 	moving   map[int]bool
 	watches  map[*attemptWatch]struct{}
 
+	unsettled unsettled
+	// tookOver says that another daemon or life held the group before.
+	tookOver bool
+
 	ids    idKeeper
 	hot    hotKeys
 	wake   chan struct{}
--- a/holder/health.go
+++ b/holder/health.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/redwingtally/redwingtally/dispatch"
 	"github.com/redwingtally/redwingtally/service"
 	"github.com/redwingtally/redwingtally/target"
@@ -24,10 +26,12 @@
 
 // healthState is what health checks showed of one target.
 type healthState struct {
-	next        time.Time
-	busy        bool
-	failures    int
-	lost        bool
+	next     time.Time
+	busy     bool
+	failures int
+	lost     bool
+	// gone says that nothing listened at the last check.
+	gone        bool
 	draining    bool
 	incarnation uint64
 	presence    presence
@@ -61,6 +65,10 @@
 	defer g.mu.Unlock()
 	h.busy = false
 	now := time.Now()
+	h.gone = eris.Is(err, target.ErrGone)
+	if h.gone || err == nil && h.incarnation != 0 && h.incarnation != answer.Incarnation {
+		g.unsettled.clear(t.Name)
+	}
 	if err != nil {
 		g.checkFailed(now, t.Name, h)
 		return
--- a/holder/record.go
+++ b/holder/record.go
@@ -124,6 +124,9 @@
 	for s := range next {
 		if s >= len(g.object.Owners) || g.object.Owners[s] != next[s] {
 			moving[s] = true
+			if s < len(g.object.Owners) && g.object.Owners[s] != "" && !g.mayLeave(now, g.object.Owners[s]) {
+				busy = true
+			}
 			busy = busy || g.core.RunningWhere(func(r *dispatch.Request) bool { return r.Shard == s }) > 0
 		}
 	}
--- a/holder/rounds.go
+++ b/holder/rounds.go
@@ -259,7 +259,9 @@
 // fenceStore writes the term into the group's object and learns its voters.
 func (g *Group) fenceStore(ctx context.Context, term grant.Term) {
 	asked := time.Now()
+	var before grant.Term
 	obj, err := updateObject(ctx, g.d.Store, g.name, term, func(o *GroupObject) {
+		before = o.Term
 		o.Term = term
 		o.Holder = g.d.Self().Name
 		if o.Epoch == 0 {
@@ -273,6 +275,9 @@
 		return
 	}
 	g.step(func(now time.Time) {
+		if before != 0 && before.Incarnation() != term.Incarnation() {
+			g.tookOver = true
+		}
 		g.learn(now, obj)
 		g.holder.StoreAck(now, grant.StoreAck{Asked: asked, Term: obj.Term, Epoch: obj.Epoch})
 	})
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -47,6 +47,8 @@
 	Backlog int
 	// Cold slows the first requests down by a factor that falls to one.
 	Cold int
+	// Stubborn makes the target work on after its caller left, until the deadline.
+	Stubborn bool
 	// Journal is a file to which the target appends the id of each request that it runs.
 	Journal string
 	// Began is called when a request for a key begins to run; what it returns is
@@ -64,6 +66,8 @@
 	Draining bool `json:"draining"`
 	// Shed makes the target refuse all work for load.
 	Shed bool `json:"shed"`
+	// HealthHangs leaves health checks without an answer.
+	HealthHangs bool `json:"health_hangs"`
 	// HealthLie is a load that the health endpoint reports in place of the true one.
 	HealthLie float64 `json:"health_lie"`
 }
@@ -200,6 +204,13 @@
 		return
 	}
 	t.mu.Lock()
+	hangs := t.faults.HealthHangs
+	t.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return
+	}
+	t.mu.Lock()
 	h := target.Health{Incarnation: t.incarnation, Draining: t.faults.Draining, Load: float64(len(t.slots)) / float64(t.o.Slots)}
 	if t.faults.HealthLie != 0 {
 		h.Load = t.faults.HealthLie
@@ -227,6 +238,9 @@
 		t.notRun(c, reason)
 		return
 	}
+	if t.o.Stubborn {
+		ctx = context.WithoutCancel(ctx)
+	}
 	ctx, cancel := deadline(ctx, c)
 	defer cancel()
 	if !t.acquire(ctx) {
--- a/lane/lane.go
+++ b/lane/lane.go
@@ -18,11 +18,13 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/config"
@@ -37,6 +39,9 @@
 // ErrDial reports that no connection could be opened; nothing was sent.
 var ErrDial = eris.New("lane: cannot connect")
 
+// ErrRefused reports that nothing listens at the address; nothing was sent.
+var ErrRefused = eris.New("lane: connection refused")
+
 // ErrUnsent reports that the connection failed before any byte was sent.
 var ErrUnsent = eris.New("lane: connection failed before the request was sent")
 
@@ -113,7 +118,7 @@
 	return s.conn, nil
 }
 
-// Dial opens a lane to address, or returns ErrDial.
+// Dial opens a lane to address, or returns ErrRefused or ErrDial.
 func Dial(ctx context.Context, address netip.AddrPort) (*Lane, error) {
 	timeout := dialTimeout
 	if d, ok := ctx.Deadline(); ok {
@@ -124,6 +129,9 @@
 	}
 	dialer := standard.NewDialer()
 	raw, err := dialer.DialConnection("tcp", address.String(), timeout, nil)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, eris.Wrapf(ErrRefused, "%s", address)
+	}
 	if err != nil {
 		return nil, eris.Wrapf(ErrDial, "%s: %v", address, err)
 	}
--- a/lane/lane_test.go
+++ b/lane/lane_test.go
@@ -121,5 +121,5 @@
 	a := netip.MustParseAddrPort(ln.Addr().String())
 	_ = ln.Close()
 	_, err = NewPool(a, 1).Call(context.Background(), Call{Method: "GET", Path: "/"})
-	qt.Assert(t, eris.Is(err, ErrDial), qt.IsTrue)
+	qt.Assert(t, eris.Is(err, ErrRefused), qt.IsTrue)
 }
--- a/target/target.go
+++ b/target/target.go
@@ -31,6 +31,9 @@
 // ErrCanceled reports that the caller left.
 var ErrCanceled = eris.New("target: canceled")
 
+// ErrGone reports that nothing listens at the target's address: its process is gone.
+var ErrGone = eris.New("target: gone")
+
 // ErrControl reports that an order or a health check failed.
 var ErrControl = eris.New("target: control call failed")
 
@@ -94,6 +97,9 @@
 
 func (t *Target) call(ctx context.Context, c lane.Call, out any) error {
 	reply, err := t.control.Call(ctx, c)
+	if eris.Is(err, lane.ErrRefused) {
+		return eris.Wrap(ErrGone, t.Name)
+	}
 	if err != nil {
 		if eris.Is(err, lane.ErrTimeout) {
 			t.control.Drain()
@@ -166,6 +172,9 @@
 	}
 }
 
+// Target returns the name of the target that the attempt is at.
+func (a *Attempt) Target() string { return a.target.Name }
+
 // Abort closes the connection of an attempt whose answer is not wanted.
 func (a *Attempt) Abort() {
 	a.lane.Close()
