Send a heartbeat again when its stream had ended

Ruled out: shorter pings, which cost bytes at rest, and more frequent slow heartbeats. Change: what fails on an old stream goes out once more on a new one.

--- a/cell/beat.go
+++ b/cell/beat.go
@@ -106,18 +106,30 @@
 		case <-ctx.Done():
 			return
 		case b := <-l.next:
-			if stream == nil {
-				stream = c.d.Clients.Beats(ctx, a)
-			}
-			if stream.Send(b) != nil {
-				stream.Close()
-				stream = nil
-			}
+			stream = c.sendOne(ctx, a, stream, b)
 			c.d.Metrics.ControlMessages.WithLabelValues("out").Inc()
 		}
 	}
 }
 
+// sendOne sends a heartbeat and returns the stream for the next. On a stream
+// that has ended the heartbeat goes out once more on a new one: it may be the
+// news of a takeover, and the next may be a second away.
+func (c *Cell) sendOne(ctx context.Context, a netip.AddrPort, stream *peer.Beats, b peer.Beat) *peer.Beats {
+	if stream != nil {
+		if stream.Send(b) == nil {
+			return stream
+		}
+		stream.Close()
+	}
+	stream = c.d.Clients.Beats(ctx, a)
+	if stream.Send(b) != nil {
+		stream.Close()
+		return nil
+	}
+	return stream
+}
+
 // Heartbeat takes a peer's heartbeat.
 func (c *Cell) Heartbeat(b peer.Beat) {
 	c.mu.Lock()
