--- a/catalogue/catalogue_test.go
+++ b/catalogue/catalogue_test.go
@@ -1,7 +1,6 @@
 package catalogue
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"runtime"
@@ -10,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/redwingtally/redwingtally/internal/seeds"
 	"github.com/redwingtally/redwingtally/placement"
 	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/policy"
@@ -18,11 +18,7 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	// The same cases on every run; flags on the command line go first.
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
+	seeds.Fix(nil)
 	os.Exit(m.Run())
 }
 
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -1,22 +1,17 @@
 package dispatch
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/redwingtally/redwingtally/internal/seeds"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	// The same cases on every run; flags on the command line go first.
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "400", "rapid.steps": "80"} {
-		if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
+	seeds.Fix(map[string]string{"rapid.checks": "400", "rapid.steps": "80"})
 	os.Exit(m.Run())
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -1,21 +1,18 @@
 package placement
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"github.com/redwingtally/redwingtally/internal/seeds"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	// The same cases on every run; flags on the command line go first.
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "20261204")
-	}
+	seeds.Fix(nil)
 	os.Exit(m.Run())
 }
 
--- a/placement/record.go
+++ b/placement/record.go
@@ -64,24 +64,17 @@
 
 // Kind returns the record kind "placement".
 func Kind() record.Kind {
-	return record.Kind{
+	return record.Schema[Spec]{
 		Name:      "placement",
 		Newest:    Version,
+		Decode:    Decode,
+		Unknown:   unknown,
 		Upgrade:   upgrade,
 		Downgrade: downgrade,
-		Validate: func(spec json.RawMessage) error {
-			_, err := Decode(spec)
-			return err
-		},
-		Unknown: unknown,
-	}
+	}.Kind()
 }
 
-func unknown(spec json.RawMessage) []string {
-	s, err := Decode(spec)
-	if err != nil {
-		return nil
-	}
+func unknown(s Spec) []string {
 	names := s.Unknown.Names()
 	for _, p := range s.Pins {
 		names = append(names, p.Unknown.Names()...)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -200,24 +200,17 @@
 
 // Kind returns the record kind "policy".
 func Kind() record.Kind {
-	return record.Kind{
+	return record.Schema[Spec]{
 		Name:      "policy",
 		Newest:    Version,
+		Decode:    Decode,
+		Unknown:   unknown,
 		Upgrade:   upgrade,
 		Downgrade: downgrade,
-		Validate: func(spec json.RawMessage) error {
-			_, err := Decode(spec)
-			return err
-		},
-		Unknown: unknown,
-	}
+	}.Kind()
 }
 
-func unknown(spec json.RawMessage) []string {
-	s, err := Decode(spec)
-	if err != nil {
-		return nil
-	}
+func unknown(s Spec) []string {
 	names := append(s.Unknown.Names(), s.Retry.Unknown.Names()...)
 	for _, c := range s.Classes {
 		names = append(names, c.Unknown.Names()...)
--- a/record/registry.go
+++ b/record/registry.go
@@ -23,6 +23,39 @@
 	Unknown func(spec json.RawMessage) []string
 }
 
+// A Schema describes a kind by its decoded spec.
+type Schema[T any] struct {
+	Name   string
+	Newest int
+	// Decode decodes and checks a spec of the newest version.
+	Decode func(spec json.RawMessage) (T, error)
+	// Unknown lists the unknown fields of a decoded spec.
+	Unknown   func(T) []string
+	Upgrade   func(spec json.RawMessage, version int) (json.RawMessage, error)
+	Downgrade func(spec json.RawMessage, version int) (json.RawMessage, error)
+}
+
+// Kind returns the kind that s describes.
+func (s Schema[T]) Kind() Kind {
+	return Kind{
+		Name:      s.Name,
+		Newest:    s.Newest,
+		Upgrade:   s.Upgrade,
+		Downgrade: s.Downgrade,
+		Validate: func(spec json.RawMessage) error {
+			_, err := s.Decode(spec)
+			return err
+		},
+		Unknown: func(spec json.RawMessage) []string {
+			v, err := s.Decode(spec)
+			if err != nil {
+				return nil
+			}
+			return s.Unknown(v)
+		},
+	}
+}
+
 // A Registry is the set of known kinds.
 type Registry struct {
 	kinds map[string]Kind
--- a/service/service.go
+++ b/service/service.go
@@ -129,24 +129,17 @@
 
 // Kind returns the record kind "service".
 func Kind() record.Kind {
-	return record.Kind{
+	return record.Schema[Spec]{
 		Name:      "service",
 		Newest:    Version,
+		Decode:    Decode,
+		Unknown:   unknown,
 		Upgrade:   upgrade,
 		Downgrade: downgrade,
-		Validate: func(spec json.RawMessage) error {
-			_, err := Decode(spec)
-			return err
-		},
-		Unknown: unknown,
-	}
+	}.Kind()
 }
 
-func unknown(spec json.RawMessage) []string {
-	s, err := Decode(spec)
-	if err != nil {
-		return nil
-	}
+func unknown(s Spec) []string {
 	names := s.Unknown.Names()
 	for _, t := range s.Targets {
 		names = append(names, t.Unknown.Names()...)
