Remove what nothing uses and one usage line that was wrong

Read as a newcomer: a one-field struct, an unused parameter, an unused field of the status and an unused method; record's usage showed a function that does not exist. No change of behaviour.

--- a/holder/group.go
+++ b/holder/group.go
@@ -51,21 +51,21 @@
 	name string
 	log  *slog.Logger
 
-	mu       sync.Mutex
-	bundle   *catalogue.Bundle
-	holder   *grant.Holder
-	core     *dispatch.Core
-	targets  map[string]*target.Target
-	health   map[string]*healthState
-	object   GroupObject
-	leaving  bool
-	unserved time.Time
-	seekAt   time.Time
-	losses   int
-	expiring bool
-	recorded recorder
-	moving   map[int]bool
-	watches  map[*attemptWatch]struct{}
+	mu         sync.Mutex
+	bundle     *catalogue.Bundle
+	holder     *grant.Holder
+	core       *dispatch.Core
+	targets    map[string]*target.Target
+	health     map[string]*healthState
+	object     GroupObject
+	leaving    bool
+	unserved   time.Time
+	seekAt     time.Time
+	losses     int
+	expiring   bool
+	recordedAt time.Time
+	moving     map[int]bool
+	watches    map[*attemptWatch]struct{}
 
 	unsettled unsettled
 	// tookOver says that another daemon or life held the group before.
--- a/holder/ids.go
+++ b/holder/ids.go
@@ -64,7 +64,7 @@
 
 // taken starts over after the group was taken under a new term. A holder that
 // had the ids before keeps them: nobody can have run others without a term of its own.
-func (k *idKeeper) taken(now time.Time, _ *Group) {
+func (k *idKeeper) taken(now time.Time) {
 	k.open = false
 	k.tried = now.Add(-reopenPause)
 }
--- a/holder/record.go
+++ b/holder/record.go
@@ -7,22 +7,16 @@
 
 	"github.com/redwingtally/redwingtally/dispatch"
 	"github.com/redwingtally/redwingtally/grant"
-	"github.com/redwingtally/redwingtally/platform"
 )
 
 // recordPause is the least time between two writes of a group's assignment.
 const recordPause = 100 * time.Millisecond
 
-// recorder remembers what was last written to the group's object.
-type recorder struct {
-	at time.Time
-}
-
 // record brings the group's object up to date: the term, the owners and the
 // next step towards the wanted set of voters. It writes only on a change.
 func (g *Group) record(ctx context.Context) {
 	g.mu.Lock()
-	if g.holder.Phase() != grant.PhaseHolding || time.Since(g.recorded.at) < recordPause {
+	if g.holder.Phase() != grant.PhaseHolding || time.Since(g.recordedAt) < recordPause {
 		g.mu.Unlock()
 		return
 	}
@@ -39,7 +33,7 @@
 	})
 	g.countStore("record", err)
 	g.mu.Lock()
-	g.recorded.at = time.Now()
+	g.recordedAt = time.Now()
 	g.mu.Unlock()
 	if err != nil && obj.Term <= term {
 		g.step(func(time.Time) { g.hotRecorded(false) })
@@ -139,20 +133,19 @@
 
 // Status is what the daemon that holds a group reports to operators.
 type Status struct {
-	Service   string           `json:"service"`
-	Holder    string           `json:"holder"`
-	Term      string           `json:"term"`
-	Records   uint64           `json:"records_version"`
-	Owners    map[string]int   `json:"shards_by_target,omitempty"`
-	Unowned   int              `json:"unowned_shards"`
-	Hot       []HotKey         `json:"hot_keys,omitempty"`
-	Queued    int              `json:"queued"`
-	Running   int              `json:"running"`
-	InFlight  int64            `json:"in_flight"`
-	Recorded  bool             `json:"recorded"`
-	Targets   []TargetStatus   `json:"targets"`
-	Object    platform.Version `json:"-"`
-	RequestID IDStatus         `json:"request_ids"`
+	Service   string         `json:"service"`
+	Holder    string         `json:"holder"`
+	Term      string         `json:"term"`
+	Records   uint64         `json:"records_version"`
+	Owners    map[string]int `json:"shards_by_target,omitempty"`
+	Unowned   int            `json:"unowned_shards"`
+	Hot       []HotKey       `json:"hot_keys,omitempty"`
+	Queued    int            `json:"queued"`
+	Running   int            `json:"running"`
+	InFlight  int64          `json:"in_flight"`
+	Recorded  bool           `json:"recorded"`
+	Targets   []TargetStatus `json:"targets"`
+	RequestID IDStatus       `json:"request_ids"`
 }
 
 // TargetStatus is what a holder knows of one target.
--- a/holder/rounds.go
+++ b/holder/rounds.go
@@ -121,7 +121,7 @@
 	switch after {
 	case grant.PhaseHolding:
 		g.log.Info("Holding the group.", "term", g.holder.Term().String())
-		g.ids.taken(now, g)
+		g.ids.taken(now)
 		g.poke()
 		go g.d.Changed()
 	case grant.PhaseIdle:
--- a/placement/sketch.go
+++ b/placement/sketch.go
@@ -47,15 +47,6 @@
 	s.down(0)
 }
 
-// Decay halves all counts, so that old traffic loses its weight.
-func (s *Sketch) Decay() {
-	s.total /= 2
-	for i := range s.heap {
-		s.heap[i].Count /= 2
-		s.heap[i].Error /= 2
-	}
-}
-
 // Total returns the weight of all counted requests.
 func (s *Sketch) Total() uint64 {
 	return s.total
--- a/record/record.go
+++ b/record/record.go
@@ -8,8 +8,7 @@
 //
 // # Usage
 //
-//	reg := record.New()
-//	err := reg.Register(service.Kind())
+//	reg, err := record.New(service.Kind(), policy.Kind())
 //	docs, err := record.Split("records.yaml", data) // YAML, several documents
 //	err = reg.Validate(docs[0])
 package record
