Send once-only requests on when the group is held elsewhere

Cause: in the demo one deposit in 1,500 took 1.6 s after a loss. A daemon that did not hold an undivided service took once-only requests all the same and waited 1.5 s for a table of ids that only the holder opens. TestIdleGroupSendsOnceOnlyRequestsElsewhere failed first. Also an entry that reached no holder called such a request not run, though one with the same id may have run before; it says unknown now. Ruled out: a shorter wait, which would refuse more callers at a takeover.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -215,7 +215,8 @@
 	if r != nil {
 		name = r.bundle.Name
 	}
-	if r != nil && r.mayHaveRun {
+	if r != nil && (r.mayHaveRun || r.in.RequestID != "" && p.Status >= 500) {
+		// A request with this id may have run before; nobody was asked.
 		p.NotRun = refusal.NotRunUnknown
 	}
 	e.d.Metrics.Requests.WithLabelValues(name, "entry", string(p.Code)).Inc()
--- a/holder/serve.go
+++ b/holder/serve.go
@@ -35,9 +35,15 @@
 		cancel()
 		g.inFlight.Add(-1)
 	}
-	if j.route.OnceOnly && !g.admitOnce(ctx, c, j) {
-		end()
-		return true
+	if j.route.OnceOnly {
+		switch g.admitOnce(ctx, c, j) {
+		case admissionAnswered:
+			end()
+			return true
+		case admissionElsewhere:
+			end()
+			return false
+		}
 	}
 	return g.dispatch(ctx, c, j, end)
 }
@@ -54,6 +60,9 @@
 	if !ok {
 		return nil, &refusal.Refusal{Status: 404, Code: refusal.CodeNoRoute, Message: "no route of the policy matches", NotRun: refusal.NotRunTrue}
 	}
+	if g.bundle.Policy.Routes[m.Route].OnceOnly && g.holder.Phase() == grant.PhaseIdle {
+		return nil, nil
+	}
 	class := g.bundle.Policy.Classes[m.Class]
 	budget := class.Deadline.Duration
 	if in.Budget > 0 {
@@ -242,23 +251,38 @@
 	}
 }
 
+// admission says what became of a once-only request before its dispatch.
+type admission int
+
+const (
+	// admissionRun means that it may run.
+	admissionRun admission = iota
+	// admissionAnswered means that the caller has its answer.
+	admissionAnswered
+	// admissionElsewhere means that the group was given up meanwhile.
+	admissionElsewhere
+)
+
 // admitOnce decides whether a once-only request may run, and has its id noted.
-func (g *Group) admitOnce(ctx context.Context, c *app.RequestContext, j *job) bool {
+func (g *Group) admitOnce(ctx context.Context, c *app.RequestContext, j *job) admission {
 	if j.in.RequestID == "" {
 		g.fail(c, j, refusal.Refusal{Status: 400, Code: refusal.CodeIDRequired, Message: "the route runs requests once only and needs the header " + target.RequestIDHeader, NotRun: refusal.NotRunTrue})
-		return false
+		return admissionAnswered
 	}
 	for range admitTries {
-		if !g.awaitIDs(ctx) {
+		if open := g.awaitIDs(ctx); !open {
+			if g.givenUp() {
+				return admissionElsewhere
+			}
 			g.fail(c, j, refusal.Refusal{Status: 503, Code: refusal.CodeNotesUnkept, Message: "request ids cannot be looked up now; the same id may be sent again", NotRun: refusal.NotRunUnknown, RetryAfter: time.Second})
-			return false
+			return admissionAnswered
 		}
 		g.mu.Lock()
 		d := g.ids.table.Admit(time.Now(), j.in.RequestID)
 		g.mu.Unlock()
 		if d.Verdict != once.VerdictRun {
 			g.repeat(c, j, d)
-			return false
+			return admissionAnswered
 		}
 		if g.ids.note(ctx, g, j.in.RequestID) {
 			break
@@ -269,30 +293,47 @@
 	if !g.ids.noted(g, j.in.RequestID) || !g.awaitEvidence(ctx) {
 		g.ran(j, refusal.NotRunTrue)
 		g.fail(c, j, refusal.Refusal{Status: 503, Code: refusal.CodeEvidence, Message: "the request id could not be kept or ownership not be proved", NotRun: refusal.NotRunTrue, RetryAfter: time.Second})
-		return false
+		return admissionAnswered
 	}
-	return true
+	return admissionRun
+}
+
+// givenUp reports whether the daemon does not hold the group and does not seek it.
+func (g *Group) givenUp() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holder.Phase() == grant.PhaseIdle
 }
 
 // admitTries bounds how often a request is admitted while keepers are replaced.
 const admitTries = 3
 
+// idPoll is how often a request that waits for the table looks whether the group is still held.
+const idPoll = 25 * time.Millisecond
+
 // idWait bounds the wait for the table of ids after a change of holder.
 const idWait = 1500 * time.Millisecond
 
-// awaitIDs waits until the table of ids is open.
+// awaitIDs waits until the table of ids is open; it gives up when the group is given up.
 func (g *Group) awaitIDs(ctx context.Context) bool {
 	limit := time.NewTimer(idWait)
 	defer limit.Stop()
+	poll := time.NewTicker(idPoll)
+	defer poll.Stop()
 	for {
 		g.mu.Lock()
 		open, opened := g.ids.open, g.ids.opened
+		idle := g.holder.Phase() == grant.PhaseIdle
 		g.mu.Unlock()
+		if idle {
+			return false
+		}
 		if open {
 			return true
 		}
 		select {
 		case <-opened:
+		case <-poll.C:
 		case <-limit.C:
 			return false
 		case <-ctx.Done():
