Let requests wait a moment for a new daemon's first records

Ruled out: listening later, which keeps the balancer from finding the daemon. Requests wait up to a second now.

TestDaemonWithoutStoreTakesRecordsFromPeer failed after the change: its third daemon, meant to have no peer, was on the platform's list, was told records by the others within that second, and answered.

--- a/e2e/promise_test.go
+++ b/e2e/promise_test.go
@@ -99,6 +99,8 @@
 
 func TestDaemonWithoutStoreTakesRecordsFromPeer(t *testing.T) {
 	s := newSystem(t, 3)
+	// The third daemon is on no list, so that no peer tells it records.
+	s.platform.SetHosts(s.hosts[:2])
 	tg := s.target(standin.TargetOptions{Name: "t"})
 	s.apply(serviceRecord("desk", undivided, []netip.AddrPort{tg.Address()}) + policyRecord("desk"))
 	s.daemon(0)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,8 @@
 	maxHops = 3
 	// holderPoll is the pause before a holder is looked for again.
 	holderPoll = 15 * time.Millisecond
+	// recordsWait is how long a request waits for the first records.
+	recordsWait = time.Second
 	// maxPeerLanes bounds the idle connections to one peer.
 	maxPeerLanes = 256
 )
@@ -121,6 +123,7 @@
 func (e *Entry) serve(ctx context.Context, c *app.RequestContext, hops int) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	e.awaitRecords(ctx)
 	r, problem := e.parse(c, hops)
 	if problem != nil {
 		e.refuse(c, r, *problem)
@@ -129,6 +132,15 @@
 	e.route(ctx, c, r)
 }
 
+// awaitRecords gives a daemon that has just started a moment to learn records.
+func (e *Entry) awaitRecords(ctx context.Context) {
+	for end := time.Now().Add(recordsWait); !e.d.Catalogue.Ready() && time.Now().Before(end); {
+		if !pause(ctx, holderPoll) {
+			return
+		}
+	}
+}
+
 // request is a parsed request on its way to a holder.
 type request struct {
 	bundle *catalogue.Bundle
