--- a/entry/entry.go
+++ b/entry/entry.go
@@ -232,6 +232,7 @@
 		p.NotRun = refusal.NotRunUnknown
 	}
 	e.d.Metrics.Requests.WithLabelValues(name, "entry", string(p.Code)).Inc()
+	e.d.Log.Debug("Request refused.", "service", name, "code", string(p.Code), "not_run", string(p.NotRun), "request_id", string(c.GetHeader(target.RequestIDHeader)))
 	refusal.Write(c, p)
 }
 
--- a/holder/attempt.go
+++ b/holder/attempt.go
@@ -172,7 +172,7 @@
 	}
 	r := refusal.Refusal{Status: 502, Code: refusal.CodeOutcomeUnknown, Message: "the connection to the target was lost", NotRun: refusal.NotRunUnknown}
 	if g.crashed(t) {
-		g.log.Warn("Target crashed under a request.", "target", t.Name, "path", j.in.Path)
+		g.log.Warn("Target crashed under a request.", "target", t.Name, "path", j.in.Path, "request_id", j.in.RequestID)
 		return dispatch.ResultCrashed, r
 	}
 	return dispatch.ResultBroken, r
--- a/holder/serve.go
+++ b/holder/serve.go
@@ -223,6 +223,7 @@
 // fail answers the caller with a refusal and counts it.
 func (g *Group) fail(c *app.RequestContext, j *job, r refusal.Refusal) {
 	g.d.Metrics.Requests.WithLabelValues(g.name, j.class, string(r.Code)).Inc()
+	g.log.Debug("Request refused.", "code", string(r.Code), "not_run", string(r.NotRun), "path", j.in.Path, "request_id", j.in.RequestID)
 	refusal.Write(c, r)
 }
 
