--- a/cell/beat_test.go
+++ b/cell/beat_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -42,8 +43,8 @@
 }
 
 // serve runs a peer's control server that hands over the heartbeats it gets.
-func serve(t *testing.T, address string, got chan peer.Beat) (string, *http.Server) {
-	ln, err := net.Listen("tcp", address)
+func serve(t *testing.T, got chan peer.Beat) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	p := new(http.Protocols)
 	p.SetUnencryptedHTTP2(true)
@@ -52,34 +53,41 @@
 	srv := &http.Server{Handler: mux, Protocols: p, ReadHeaderTimeout: time.Second}
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { _ = srv.Close() })
-	return ln.Addr().String(), srv
+	return netip.MustParseAddrPort(ln.Addr().String())
 }
 
-// TestHeartbeatSurvivesABrokenStream cuts the stream to a peer: the very next
+// TestHeartbeatSurvivesABrokenStream ends the stream to a peer: the very next
 // heartbeat must arrive, not the one after it.
 func TestHeartbeatSurvivesABrokenStream(t *testing.T) {
-	got := make(chan peer.Beat, 10)
-	address, first := serve(t, "127.0.0.1:0", got)
+	got := make(chan peer.Beat, 1000)
+	a := serve(t, got)
 	c := New(Dependencies{
 		Log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Clients: peer.NewClients(func(int, int) {}),
 		Metrics: metric.New(),
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	l := &link{next: make(chan peer.Beat, 1)}
-	a := netip.MustParseAddrPort(address)
-	go c.send(ctx, a, l)
 	beat := peer.Beat{Sender: host.Host{Name: "a", Control: a, Forward: a}, Interval: time.Second}
-	l.next <- beat
+	short, end := context.WithCancel(context.Background())
+	stream := c.d.Clients.Beats(short, a)
+	qt.Assert(t, stream.Send(beat), qt.IsNil)
 	<-got
-	_ = first.Close()
-	serve(t, address, got)
-	time.Sleep(50 * time.Millisecond) // lets the client see the end of its connection
-	l.next <- beat
-	select {
-	case <-got:
-	case <-time.After(10 * time.Second):
-		t.Fatal("the heartbeat after the cut was lost")
+	end()
+	for stream.Send(beat) == nil {
+		runtime.Gosched() // until the stream has seen its end
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	news := beat
+	news.Versions.Records = 7
+	c.sendOne(ctx, a, stream, news)
+	for {
+		select {
+		case b := <-got:
+			if b.Versions == news.Versions {
+				return
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("the heartbeat after the end of the stream was lost")
+		}
 	}
 }
--- a/cmd/redwingtally/main.go
+++ b/cmd/redwingtally/main.go
@@ -42,7 +42,11 @@
 			return report(err)
 		}
 	}
-	_, err := parser.Parse()
+	rest, err := parser.Parse()
+	if err == nil && len(rest) > 0 {
+		fmt.Fprintf(os.Stderr, "redwingtally: %q is not a command; see --help\n", rest[0])
+		return exitUsage
+	}
 	if err == nil && version.Version {
 		fmt.Println("redwingtally", redwingtally.Version)
 		return 0
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -136,7 +136,7 @@
 func (o *oracle) done(t *rapid.T) {
 	running := o.some(func(f *fate) bool { return f.running })
 	if len(running) == 0 {
-		t.Skip("nothing runs")
+		t.Skip("nothing runs") // leaves out this step of the run, not the test
 	}
 	f := running[rapid.IntRange(0, len(running)-1).Draw(t, "request")]
 	result := Result(rapid.IntRange(int(ResultOK), int(ResultCanceled)).Draw(t, "result"))
@@ -157,7 +157,7 @@
 func (o *oracle) cancel(t *rapid.T) {
 	waiting := o.some(func(f *fate) bool { return f.waiting })
 	if len(waiting) == 0 {
-		t.Skip("nothing waits")
+		t.Skip("nothing waits") // leaves out this step of the run, not the test
 	}
 	f := waiting[rapid.IntRange(0, len(waiting)-1).Draw(t, "request")]
 	if !o.core.Cancel(f.r) {
--- a/e2e/cost_test.go
+++ b/e2e/cost_test.go
@@ -58,7 +58,7 @@
 				s.daemonProcess(i)
 			}
 			s.awaitAll()
-			time.Sleep(2 * time.Second)
+			time.Sleep(2 * time.Second) // lets the traffic of the start end
 			s.measure(b, n, 10*time.Second)
 		})
 	}
@@ -122,7 +122,7 @@
 		before[i] = s.metrics(i)
 	}
 	calls := s.platform.Counts()
-	time.Sleep(d)
+	time.Sleep(d) // the measured time
 	var cpu, in, memory, beats float64
 	for i := range n {
 		m := s.metrics(i)
