Wait for all targets before keys are divided for the first time

When traffic began three of the 35 were asked for three times what their slots do. Change: the first assignment waits until no target has joined for 1.2 s, 4.5 s at most, and no longer than before once requests come. Ruled out: targets that registered late (93 of 106 stood at -6.45 s in a follower's log). Test: TestFirstAssignmentWaitsForLateTargets (failed first).

--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -27,8 +27,11 @@
 	unsettledPart = 8
 	// leavingPieces bounds the targets among which the keys of a leaving target are divided.
 	leavingPieces = 3
-	// settleTime is how long a new coordinator waits for the targets to report before the first assignment.
+	// settleTime is how long no target must have joined before the first assignment; they report for the first
+	// time within a heartbeat of 0.9 to 1.5 seconds of each other.
 	settleTime = 1200 * time.Millisecond
+	// maxSettleTime is how long the first assignment waits at most, three heartbeats; requests end the wait.
+	maxSettleTime = 4500 * time.Millisecond
 	// maxFragments is the number of ranges a target above which neighbours are merged.
 	maxFragments = 4
 	// joinTime is how long after its entry a target without keys gets some.
@@ -197,15 +200,18 @@
 	return sum
 }
 
-// first divides all keys evenly once the targets had time to report.
+// first divides all keys evenly once the targets had time to report. Those that
+// report later get keys only as load shows which, so few owners would meet the first callers.
 func (c *Core) first(now time.Time, s *service, candidates []*candidate) []Move {
-	oldest := now
+	oldest, newest := now, time.Time{}
 	for _, t := range s.targets {
-		if at := s.joined[t.Name]; at.Before(oldest) {
-			oldest = at
-		}
+		oldest, newest = earlier(oldest, s.joined[t.Name]), later(newest, s.joined[t.Name])
+	}
+	wait := maxSettleTime
+	if len(s.load.rates) > 0 {
+		wait = settleTime
 	}
-	if now.Sub(oldest) < settleTime {
+	if now.Sub(newest) < settleTime && now.Sub(oldest) < wait {
 		return nil
 	}
 	var moves []Move
--- a/ownership/rules_test.go
+++ b/ownership/rules_test.go
@@ -324,6 +324,43 @@
 	}
 }
 
+// The first assignment waits until all targets have reported, or requests come.
+// On scale-1 of jalons-arree-grown 35 of 106 targets owned all keys when the first callers came.
+func TestFirstAssignmentWaitsForLateTargets(t *testing.T) {
+	tests := []struct {
+		name     string
+		every    time.Duration // time between two targets that join
+		requests bool
+		owners   int
+		after    time.Duration
+	}{
+		{"all join within a heartbeat", 100 * time.Millisecond, false, 16, 15*100*time.Millisecond + settleTime},
+		{"targets go on joining", time.Second, false, 5, maxSettleTime},
+		{"requests wait", 100 * time.Millisecond, true, 13, settleTime},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			k := &coordinator{core: New(Options{Hold: testHold, Lease: testLease}), now: time.Unix(1000, 0)}
+			k.core.Begin(k.now, TakeOver(nil), true)
+			began := k.now
+			for k.now.Sub(began) < 10*time.Second {
+				k.targets(min(16, 1+int(k.now.Sub(began)/test.every)))
+				if test.requests {
+					k.core.Report(k.now, "stock", Report{Keys: map[uint16]int{7: 1}})
+				}
+				if _, moves := k.core.Plan(k.now); len(moves) > 0 {
+					c.Check(moves, qt.HasLen, test.owners)
+					c.Check(k.now.Sub(began), qt.Equals, test.after)
+					return
+				}
+				k.wait(100 * time.Millisecond)
+			}
+			c.Fatal("no assignment")
+		})
+	}
+}
+
 // Neighbours are joined only where nothing is under way.
 func TestOnlyCalmRangesAreJoined(t *testing.T) {
 	tests := []struct {
