Tell the coordinator how long work takes that does not wait

Above 0.7 of the slots keys move, so that keys moved all the time, each with an interruption. Change: hosts report the base of the times, which queues raise slowly, in mean terms.

--- a/edge/service.go
+++ b/edge/service.go
@@ -199,7 +199,7 @@
 	if !s.spec.Keyed {
 		return value, ownership.Report{}, false
 	}
-	r := ownership.Report{Keys: s.keys, Slowness: map[string]float64{}, Work: s.core.MeanWork()}
+	r := ownership.Report{Keys: s.keys, Slowness: map[string]float64{}, Work: s.core.UnhurriedWork()}
 	for _, v := range s.core.Views(now) {
 		if v.Running > 0 || v.Slowness != 1 {
 			r.Slowness[v.Name] = v.Slowness
--- a/ownership/load.go
+++ b/ownership/load.go
@@ -20,7 +20,7 @@
 	Keys map[uint16]int `json:"keys"`
 	// Slowness is how many times longer than the mean work takes at a target, by name.
 	Slowness map[string]float64 `json:"slowness"`
-	// Work is the mean time of a request.
+	// Work is the mean time of a request that does not wait at its target.
 	Work time.Duration `json:"work"`
 }
 
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -185,8 +185,9 @@
 	t.speed.add(min(relative, maxRelative))
 	w.add(min(took.Seconds(), maxRelative*w.value))
 	if !c.anyWork.known {
-		c.anyWork.value = took.Seconds()
+		c.anyWork.value, c.anyWork.base = took.Seconds(), took.Seconds()
 	}
+	settle(&c.anyWork.base, min(took.Seconds(), maxRise*c.anyWork.base))
 	c.anyWork.add(min(took.Seconds(), maxRelative*c.anyWork.value))
 }
 
@@ -212,6 +213,12 @@
 	queuedRatio = 2.5
 )
 
+// maxRise bounds an observation that raises the base of all routes, so that queues at a crest raise it little.
+const maxRise = 1.5
+
+// meanOverBase is the mean time of work in parts of its base, worked out for the lengths of work on the users' sheets.
+const meanOverBase = 1.8
+
 // maxRelative bounds what one answer may tell; a few requests in a hundred take seven times as long.
 const maxRelative = 4.0
 
@@ -260,6 +267,16 @@
 	return out
 }
 
+// UnhurriedWork returns the mean time that the service's requests would take if
+// none waited at its target; 0 when unknown. It shows what a target can do: the
+// mean of the times seen grows with the queues, and would call every target busy.
+func (c *Core) UnhurriedWork() time.Duration {
+	if !c.anyWork.known {
+		return 0
+	}
+	return time.Duration(c.anyWork.base * meanOverBase * float64(time.Second))
+}
+
 // MeanWork returns the mean time of the service's requests; 0 when unknown.
 func (c *Core) MeanWork() time.Duration {
 	if !c.anyWork.known {
