Let hosts begin to take turns at different targets

Change: a host begins at a random target. Ruled out: too little room (the targets were at 42% of their slots). Test: TestHostsBeginAtDifferentTargets (82 of 82 first requests at one target before).

--- a/scheduler/guards_test.go
+++ b/scheduler/guards_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -82,6 +83,24 @@
 	qt.Check(t, got, qt.DeepEquals, map[string]int{"t0": 10, "t1": 10, "t2": 10, "t3": 10})
 }
 
+// Hosts that start together spread their first requests. With 82 hosts and 103
+// targets, each of two slots, all began at the same targets of their data centre.
+func TestHostsBeginAtDifferentTargets(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	const hosts = 82
+	got := map[string]int{}
+	for range hosts {
+		core := New(Options{Random: random.Float64, Connected: func(string) bool { return false }})
+		core.SetTargets(start, targets(103))
+		got[serveOne(core, start, newRequest(start, 0, time.Second, time.Minute), Abandoned)]++
+	}
+	most := 0
+	for _, n := range got {
+		most = max(most, n)
+	}
+	qt.Check(t, most <= 5, qt.IsTrue, qt.Commentf("%d first requests at one target", most))
+}
+
 // A second attempt goes to a worse target before it goes to the same one again.
 func TestRetryPrefersATargetThatIsWorse(t *testing.T) {
 	c := qt.New(t)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -121,6 +121,9 @@
 	starvation = 60 * time.Millisecond
 	// starvedFor is how long new requests that would miss their objective are refused at once after that.
 	starvedFor = 400 * time.Millisecond
+	// rotationStarts is among how many targets a host begins to take turns, more than a service has. Hosts that
+	// begin at the same target send their first requests all to the same ones.
+	rotationStarts = 1 << 16
 	// defaultWork is the time that work of an unknown route is expected to take.
 	defaultWork = 100 * time.Millisecond
 )
@@ -142,7 +145,10 @@
 
 // New returns a Core without targets and with all slots for itself.
 func New(o Options) *Core {
-	return &Core{options: o, targets: map[string]*target{}, work: map[string]*average{}, share: 1, lines: map[line]*lineState{}}
+	return &Core{
+		options: o, targets: map[string]*target{}, work: map[string]*average{}, share: 1, lines: map[line]*lineState{},
+		rotation: int(o.Random() * rotationStarts),
+	}
 }
 
 // SetShare sets the part of the service's slots that this host may use.
