Keep part of the retry budget for callers that have come back

Repeats went to whoever came first, and a caller that comes for the first time can still come back, one that has come back cannot. Who has come back shows in the time that the caller gives. Ruled out: more repeats than the rule allows; a wait at the host, which holds callers longer.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -102,7 +102,7 @@
 	if time.Until(q.deadline) < q.service.meanWork() {
 		return false
 	}
-	return q.service.mayRepeat()
+	return q.service.mayRepeat(q.returning)
 }
 
 // failed goes on after an exchange without an answer.
--- a/edge/attempt_test.go
+++ b/edge/attempt_test.go
@@ -27,6 +27,7 @@
 	s := settings.Edge{Host: "e1", RetryRatio: 1, RetryExtra: 10, RetryWindow: 10 * time.Second}
 	e, err := New(s, slog.New(slog.DiscardHandler))
 	qt.Assert(tb, err, qt.IsNil)
+	e.BeginEarlier()
 	w := httptest.NewRecorder()
 	q := &request{
 		edge: e, w: w, r: httptest.NewRequest(http.MethodGet, "/stock/1", http.NoBody),
@@ -90,6 +91,17 @@
 		{"body partly read", context.Background(), false, func(q *request) { q.body.rest = strings.NewReader("rest") }, false},
 		{"sent too often", context.Background(), false, func(q *request) { q.sends = maxSends }, false},
 		{"no time left", context.Background(), true, func(q *request) { q.deadline = time.Now().Add(-time.Second) }, false},
+		{"part of first attempts used", context.Background(), true, func(q *request) {
+			for q.service.mayRepeat(false) {
+				continue
+			}
+		}, false},
+		{"part of first attempts used, caller has come back", context.Background(), true, func(q *request) {
+			for q.service.mayRepeat(false) {
+				continue
+			}
+			q.returning = true
+		}, true},
 		{"no budget left", context.Background(), true, func(q *request) { q.service.setLimits(budget.Limits{}) }, false},
 	}
 	for _, test := range tests {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -68,6 +68,7 @@
 	metrics  *metric.Set
 	kernel   *kernel.Kernel
 	pool     *ants.Pool
+	began    time.Time // when the process began
 	store    atomic.Pointer[platform.Client]
 	member   *coordination.Member
 	table    atomic.Pointer[routing.Table]
@@ -100,6 +101,7 @@
 		metrics:  metric.New(),
 		kernel:   kernel.New(log),
 		pool:     pool,
+		began:    time.Now(),
 		services: map[string]*service{},
 		targets:  directory.New(s.Drain),
 		crashes:  quarantine.New(),
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -43,6 +43,7 @@
 	deadline    time.Time
 	fingerprint quarantine.Fingerprint
 	work        *scheduler.Request
+	returning   bool // the caller has come back after a refusal
 
 	sends    int // times that it was sent
 	mayRun   int // times that it may have run
@@ -167,7 +168,7 @@
 		q.turnAway(http.StatusServiceUnavailable, "crashes_targets", 0)
 		return
 	}
-	q.service.arrive(now, q.work)
+	q.returning = q.service.arrive(now, q.work, q.call.Patience)
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
 	for !q.attempt(ctx) {
--- a/edge/rig_test.go
+++ b/edge/rig_test.go
@@ -62,6 +62,7 @@
 	}
 	e, err := edge.New(s, slog.New(slog.DiscardHandler))
 	qt.Assert(r.tb, err, qt.IsNil)
+	e.BeginEarlier()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.tb.Cleanup(cancel)
 	qt.Assert(r.tb, e.Start(ctx), qt.IsNil)
--- a/edge/service.go
+++ b/edge/service.go
@@ -25,17 +25,18 @@
 
 // service is the sending side of one service on this host.
 type service struct {
-	name   string
-	edge   *Edge
-	mu     sync.Mutex
-	core   *scheduler.Core
-	budget *budget.Budget
-	spec   platform.Service
-	links  map[ownership.Life]*exchange.Target
-	byName map[string]*exchange.Target
-	rate   rate
-	keys   map[uint16]int // requests by key since the last report
-	ticker *time.Timer    // runs while requests wait
+	name    string
+	edge    *Edge
+	mu      sync.Mutex
+	core    *scheduler.Core
+	budget  *budget.Budget
+	callers budget.Callers
+	spec    platform.Service
+	links   map[ownership.Life]*exchange.Target
+	byName  map[string]*exchange.Target
+	rate    rate
+	keys    map[uint16]int // requests by key since the last report
+	ticker  *time.Timer    // runs while requests wait
 }
 
 // grant is what a waiting request gets: a place at a target or a refusal.
@@ -50,7 +51,7 @@
 	s := &service{
 		name:   name,
 		edge:   e,
-		budget: budget.New(e.limits()),
+		budget: budget.New(e.began, e.limits()),
 		links:  map[ownership.Life]*exchange.Target{},
 		keys:   map[uint16]int{},
 	}
@@ -69,8 +70,9 @@
 	return link != nil && link.Connected()
 }
 
-// arrive counts a request of a caller.
-func (s *service) arrive(now time.Time, r *scheduler.Request) {
+// arrive counts a request of a caller and reports whether the caller has come
+// back after a refusal. patience is the time that it gives.
+func (s *service) arrive(now time.Time, r *scheduler.Request, patience time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budget.Request(now)
@@ -78,6 +80,7 @@
 	if r.Keyed {
 		s.keys[r.Key]++
 	}
+	return s.callers.Returning(r.Route, patience)
 }
 
 // enter waits until the request may go to a target or is refused. It returns
@@ -123,11 +126,12 @@
 	s.pump(now)
 }
 
-// mayRepeat asks the retry budget for one more attempt.
-func (s *service) mayRepeat() bool {
+// mayRepeat asks the retry budget for one more attempt; returning says that the
+// caller has come back after a refusal.
+func (s *service) mayRepeat(returning bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Repeat(time.Now(), s.edge.member.State().Hosts)
+	return s.budget.Repeat(time.Now(), s.edge.member.State().Hosts, returning)
 }
 
 // pump hands out places at targets.
