Know rates of keys from the first reports on

Rates were averaged over time before the first report: half of the rate shows after 1.4 s, on every takeover anew. Change: rates are taken over the time that was reported, 0.6 s at least. Ruled out: too little room (78% of the slots of the service).

--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -248,6 +248,7 @@
 	{"ow-bury", "ownership/ownership.go", "byName[l.Name].Born.After(l.Born) || byAddress", "true || byAddress", "./ownership"},
 	{"ow-silent", "ownership/plan.go", "len(candidates) == 0 || c.tooManySilent(now, s)", "len(candidates) == 0", "./ownership"},
 	{"ow-view-dead", "ownership/view.go", "st.granted && !c.life(st.Owner).dead", "st.granted", "./ownership"},
+	{"ow-scale", "ownership/load.go", "return 1 / (1 - math.Exp(-age.Seconds()/loadMemory.Seconds()))", "return 1", "./ownership"},
 	{"ow-settle-newest", "ownership/plan.go", "now.Sub(newest) < settleTime && now.Sub(oldest) < wait", "now.Sub(oldest) < settleTime", "./ownership"},
 	{"ow-settle-requests", "ownership/plan.go", "if len(s.load.rates) > 0 {", "if false {", "./ownership"},
 	{"ow-rejoin", "ownership/ownership.go", "c.life(LifeOf(t)).silentSince = time.Time{}", "", "./ownership"},
--- a/ownership/load.go
+++ b/ownership/load.go
@@ -8,6 +8,8 @@
 const (
 	// loadMemory is the time over which rates of keys are averaged; a hot key shows within a second.
 	loadMemory = 2 * time.Second
+	// minLoadAge is the least time over which rates are taken; in less, single requests look like busy keys.
+	minLoadAge = 600 * time.Millisecond
 	// speedWeight is the weight of a host's report in a target's slowness.
 	speedWeight = 0.2
 	// minRate is the rate of a key, in requests a second, below which it is forgotten.
@@ -27,6 +29,7 @@
 // load holds the rates of keys and the speeds of targets of one service.
 type load struct {
 	rates    map[uint16]float64 // requests a second
+	began    time.Time          // when the first report came
 	at       time.Time
 	slowness map[string]float64
 	work     time.Duration
@@ -45,6 +48,9 @@
 
 func (l *load) add(now time.Time, r Report) {
 	l.decay(now)
+	if l.began.IsZero() {
+		l.began = now
+	}
 	for key, n := range r.Keys {
 		l.rates[key] += float64(n) / loadMemory.Seconds()
 	}
@@ -62,6 +68,13 @@
 	}
 }
 
+// scale corrects rates for the time before the first report, which the average
+// counts as time without requests: the first crest after a takeover would look calm.
+func (l *load) scale() float64 {
+	age := max(minLoadAge, l.at.Sub(l.began))
+	return 1 / (1 - math.Exp(-age.Seconds()/loadMemory.Seconds()))
+}
+
 // decay lets old counts fade.
 func (l *load) decay(now time.Time) {
 	if !l.at.IsZero() {
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -197,7 +197,7 @@
 			sum += rate
 		}
 	}
-	return sum
+	return sum * l.scale()
 }
 
 // first divides all keys evenly once the targets had time to report. Those that
@@ -303,9 +303,10 @@
 // within returns the keys of a span that have requests, in order, and their rate together.
 func (l *load) within(span platform.Span) ([]keyRate, float64) {
 	var out []keyRate
-	total := 0.0
+	total, scale := 0.0, l.scale()
 	for key, rate := range l.rates {
 		if key >= span.First && key <= span.Last {
+			rate *= scale
 			out = append(out, keyRate{key, rate})
 			total += rate
 		}
