Let hosts that are large enough to coordinate watch the store first

Change: reports say which hosts are too small to coordinate, and these watch only where others are missing. Both ways to a report share one function. Ruled out: a longer wait of small hosts, which delays every takeover where all are small. Tests: TestFewHostsWatch (two rows failed first), TestReportsTellReluctance.

--- a/coordination/coordination_test.go
+++ b/coordination/coordination_test.go
@@ -228,6 +228,22 @@
 	c.Check(watching(), qt.DeepEquals, []string{"a", "b"})
 	l.hosts["a"].storeLost = true
 	c.Check(watching(), qt.DeepEquals, []string{"a", "b", "d"})
+	l.hosts["a"].storeLost = false
+	l.hosts["a"].reluctant, l.hosts["b"].reluctant = true, true
+	c.Check(watching(), qt.DeepEquals, []string{"d", "e"}, qt.Commentf("small hosts come last"))
+	l.hosts["e"].reluctant = true
+	c.Check(watching(), qt.DeepEquals, []string{"a", "d"})
+}
+
+// A host says whether it is too small to coordinate.
+func TestReportsTellReluctance(t *testing.T) {
+	for _, reluctance := range []time.Duration{0, time.Second} {
+		m := New(Options{
+			Log: slog.New(slog.DiscardHandler), Reluctance: reluctance, Feed: feed.New(),
+			Collect: func() Report { return Report{} },
+		})
+		qt.Check(t, m.ownReport(0).Reluctant, qt.Equals, reluctance > 0)
+	}
 }
 
 // The store counts as away only when no host that watches it gets an answer.
--- a/coordination/follower.go
+++ b/coordination/follower.go
@@ -178,19 +178,26 @@
 func (m *Member) report(ctx context.Context, c *client, wait, margin time.Duration) (*Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+margin)
 	defer cancel()
+	r := m.ownReport(wait)
+	reply, err := c.CallUnary(ctx, connect.NewRequest(&r))
+	if err != nil {
+		return nil, err
+	}
+	return reply.Msg, nil
+}
+
+// ownReport returns this host's report.
+func (m *Member) ownReport(wait time.Duration) Report {
 	r := m.o.Collect()
-	r.Host, r.Process, r.Wait, r.View, r.Have = m.o.Host, m.o.Process, wait, m.State().Version, m.o.Feed.Versions()
+	r.Host, r.Process, r.Wait, r.Reluctant = m.o.Host, m.o.Process, wait, m.o.Reluctance > 0
+	r.View, r.Have = m.State().Version, m.o.Feed.Versions()
 	if m.watch.isOpen() {
 		r.Watching, r.StoreLost = true, m.o.StoreAway()
 		if known := m.knownByCoordinator(); known != nil {
 			r.Feed = m.o.Feed.Since(known)
 		}
 	}
-	reply, err := c.CallUnary(ctx, connect.NewRequest(&r))
-	if err != nil {
-		return nil, err
-	}
-	return reply.Msg, nil
+	return r
 }
 
 // accept takes the coordinator's answer; an older view never replaces a newer one.
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -60,6 +60,7 @@
 	rates     map[string]float64
 	watching  bool
 	storeLost bool
+	reluctant bool
 }
 
 // lead takes the document over and coordinates until another process does. It
--- a/coordination/message.go
+++ b/coordination/message.go
@@ -36,6 +36,8 @@
 	Watching bool `json:"watching,omitempty"`
 	// StoreLost says that the sender watches the store and gets no answer.
 	StoreLost bool `json:"store_lost,omitempty"`
+	// Reluctant says that the sender is too small to coordinate unless no other host does.
+	Reluctant bool `json:"reluctant,omitempty"`
 	// Wait is how long the coordinator may wait for a newer view.
 	Wait time.Duration `json:"wait"`
 }
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -11,7 +11,7 @@
 // reportLoop takes the reports of the leader's own host.
 func (l *leader) reportLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		r := l.ownReport(l.m.reportWait())
+		r := l.m.ownReport(l.m.reportWait())
 		reply, err := l.sync(ctx, &r)
 		if err != nil {
 			return
@@ -23,17 +23,9 @@
 	}
 }
 
-// ownReport returns a report of the leader's own host.
-func (l *leader) ownReport(wait time.Duration) Report {
-	r := l.m.o.Collect()
-	r.Host, r.Process, r.Wait = l.m.o.Host, l.m.o.Process, wait
-	r.View, r.Have = l.m.State().Version, l.m.o.Feed.Versions()
-	return r
-}
-
 // news takes what the leader's own host has just learned and wakes the reports that wait for it.
 func (l *leader) news(ctx context.Context) {
-	r := l.ownReport(0)
+	r := l.m.ownReport(0)
 	if _, err := l.sync(ctx, &r); err != nil {
 		l.m.o.Log.Warn("coordination: News came after the coordination ended.", "error", err.Error())
 		return
@@ -131,7 +123,7 @@
 
 func (l *leader) take(r *Report) {
 	t := now()
-	l.hosts[r.Process] = &reporter{at: t, rates: r.Rates, watching: r.Watching, storeLost: r.StoreLost}
+	l.hosts[r.Process] = &reporter{at: t, rates: r.Rates, watching: r.Watching, storeLost: r.StoreLost, reluctant: r.Reluctant}
 	for name, load := range r.Keyed {
 		l.core.Report(t, name, load)
 	}
@@ -198,18 +190,23 @@
 }
 
 // watches reports whether a host is among those that watch the store besides
-// the coordinator: the first ones, by name, that reach it.
+// the coordinator: the first ones, by name, that reach it. Those that watch see
+// first that the coordinator has lost the store and succeed it, so hosts that
+// are too small for that come last.
 func (l *leader) watches(names []string, process string) bool {
 	n := 0
-	for _, name := range names {
-		if name == l.process || l.hosts[name].storeLost && name != process {
-			continue
-		}
-		if name == process {
-			return true
-		}
-		if n++; n == extraWatchers {
-			return false
+	for _, reluctant := range []bool{false, true} {
+		for _, name := range names {
+			h := l.hosts[name]
+			if name == l.process || h.reluctant != reluctant || h.storeLost && name != process {
+				continue
+			}
+			if name == process {
+				return true
+			}
+			if n++; n == extraWatchers {
+				return false
+			}
 		}
 	}
 	return false
