Send nothing after a request's deadline, also when its timer is late

Change: the time is compared right before the first byte is written. Ruled out: the deadline of the connection, which fails a write when it is set in the past. Test: TestNothingIsSentAfterTheDeadline (failed first), with a clock that is ahead.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -80,6 +80,8 @@
 	Spawn func(func()) error
 	// Connecting is called before a connection is opened for a request. It may be nil.
 	Connecting func()
+	// Now returns the present time; nil means time.Now.
+	Now func() time.Time
 }
 
 // A Target is the sending side of one target. It is safe for concurrent use.
@@ -88,13 +90,18 @@
 
 	pool  *idle.Pool[*conn]
 	spawn func(func()) error
+	now   func() time.Time
 }
 
 // New returns a Target without connections.
 func New(address netip.AddrPort, o Options) *Target {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	return &Target{
 		Address: address,
 		spawn:   o.Spawn,
+		now:     o.Now,
 		pool: idle.New(idle.Options[*conn]{
 			Open: func(ctx context.Context) (*conn, error) {
 				if o.Connecting != nil {
@@ -180,6 +187,7 @@
 	}
 	x := &exchange{target: t, conn: c, request: r, reused: reused}
 	if d, ok := ctx.Deadline(); ok {
+		x.deadline = d
 		_ = c.SetDeadline(d) // fails only on a closed connection, which the write reports
 	}
 	x.stop = context.AfterFunc(ctx, c.close)
@@ -210,12 +218,13 @@
 
 // An exchange is one request on one connection.
 type exchange struct {
-	target  *Target
-	conn    *conn
-	request *Request
-	reused  bool
-	tainted bool // the connection must not be used again
-	stop    func() bool
+	target   *Target
+	conn     *conn
+	request  *Request
+	deadline time.Time // zero when there is none
+	reused   bool
+	tainted  bool // the connection must not be used again
+	stop     func() bool
 
 	mu       sync.Mutex
 	writing  bool
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -144,6 +144,21 @@
 	}
 }
 
+// Nothing is sent after the deadline, also when its timer has not fired yet. On
+// jalons-arree-grown trouble-1 a host that stood still for 2.7 s went on to send
+// requests whose callers had left.
+func TestNothingIsSentAfterTheDeadline(t *testing.T) {
+	for late, want := range map[time.Duration]error{0: nil, time.Minute: ErrUnsent} {
+		c := qt.New(t)
+		target, _ := answering(t, whole)
+		target.now = func() time.Time { return time.Now().Add(late) }
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, err := target.Do(ctx, request("r1", "body"))
+		cancel()
+		c.Check(eris.Is(err, want), qt.IsTrue, qt.Commentf("%v", err))
+	}
+}
+
 // A connection is used again only when nothing is left on it.
 func TestConnectionsAreUsedAgainOnlyWhenClean(t *testing.T) {
 	tests := []struct {
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -12,6 +12,9 @@
 func (x *exchange) send() error {
 	r := x.request
 	head := appendHead(nil, r)
+	if x.late() {
+		return eris.Wrap(ErrUnsent, "deadline passed before")
+	}
 	if len(r.Body) <= inlineBody && r.Rest == nil {
 		n, err := x.conn.Write(append(head, r.Body...))
 		if err != nil && n == 0 {
@@ -45,6 +48,12 @@
 	return nil
 }
 
+// late reports whether the deadline has passed. On a host that is short of
+// processor time the timer of a deadline may fire seconds late.
+func (x *exchange) late() bool {
+	return !x.deadline.IsZero() && !x.target.now().Before(x.deadline)
+}
+
 func (x *exchange) writeBody() error {
 	r := x.request
 	if r.Length >= 0 {
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -27,6 +27,7 @@
 	{"ex-length", "exchange/send.go", "err == nil && n != r.Length-int64(len(r.Body))", "err == nil && n < 0", "./exchange"},
 	{"ex-body-close", "exchange/send.go", "if eris.Is(err, ErrBody) {", "if false {", "./exchange"},
 	{"ex-head-sent", "exchange/send.go", `return eris.Wrapf(ErrBroken, "head sent`, `return eris.Wrapf(ErrUnsent, "head sent`, "./exchange"},
+	{"ex-late", "exchange/send.go", "if x.late() {", "if false {", "./exchange"},
 	{"ex-unsent", "exchange/send.go", "if err != nil && n == 0 {", "if err != nil && n >= 0 {", "./exchange"},
 	{"ex-unsent2", "exchange/send.go", "if n, err := x.conn.Write(head); err != nil && n == 0 {", "if _, err := x.conn.Write(head); err != nil {", "./exchange"},
 	{"ex-perconn", "exchange/send.go", "if perConnection[name] {", "if false {", "./exchange"},
