Send requests to targets that join

A new connection costs 0.3 of a target's time and a cold target twice its time, so that of 64 hosts with little to send each keeps to the targets that it knows. Change: when a target joins, about four hosts, each by its own draw, send it their next request. Ruled out: targets that were not known (the coordinator's host had their entries). Test: TestTargetsThatJoinGetRequests (failed first: none of six got one).

--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -84,7 +84,8 @@
 }
 
 // best returns the open target with the least expected time for r, or nil.
-// Targets that r was sent to before come last; equal ones take turns.
+// Targets that r was sent to before come last, one that this host adopted first;
+// equal ones take turns.
 func (c *Core) best(now time.Time, r *Request) *target {
 	var best *target
 	least := math.Inf(1)
@@ -95,8 +96,11 @@
 			continue
 		}
 		cost := t.cost(now) + c.distance(t, r)
-		if r.has(t.Name) {
+		switch {
+		case r.has(t.Name):
 			cost += triedCost
+		case t.adopted:
+			cost = 0
 		}
 		if cost < least {
 			best, least = t, cost
--- a/scheduler/guards_test.go
+++ b/scheduler/guards_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -102,6 +103,39 @@
 	qt.Check(t, most <= 5, qt.IsTrue, qt.Commentf("%d first requests at one target", most))
 }
 
+// Targets that join a calm service get requests: some hosts send them their next
+// one, all others keep to the targets that they are connected to. On scale-1 of
+// wickgate-grown the dearest price was that of targets that joined and got nothing.
+func TestTargetsThatJoinGetRequests(t *testing.T) {
+	c := qt.New(t)
+	const hosts, before, joined = 64, 12, 6
+	random := rand.New(rand.NewPCG(1, 2))
+	got := map[string]int{}
+	for range hosts {
+		connected := map[string]bool{}
+		core := New(Options{Random: random.Float64, Connected: func(name string) bool { return connected[name] }})
+		core.SetShare(1.0 / hosts)
+		core.SetTargets(start, targets(before))
+		serve := func() string {
+			name := serveOne(core, start, newRequest(start, 0, time.Second, time.Minute), Answered)
+			connected[name] = true
+			return name
+		}
+		serve()
+		core.SetTargets(start, targets(before+joined))
+		for range 4 {
+			got[serve()]++
+		}
+	}
+	all := 0
+	for i := before; i < before+joined; i++ {
+		n := got[fmt.Sprint("t", i)]
+		all += n
+		c.Check(n > 0, qt.IsTrue, qt.Commentf("t%d", i))
+	}
+	c.Check(all <= 3*adopters*joined, qt.IsTrue, qt.Commentf("%d new connections", all))
+}
+
 // A second attempt goes to a worse target before it goes to the same one again.
 func TestRetryPrefersATargetThatIsWorse(t *testing.T) {
 	c := qt.New(t)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -126,6 +126,9 @@
 	// rotationStarts is among how many targets a host begins to take turns, more than a service has. Hosts that
 	// begin at the same target send their first requests all to the same ones.
 	rotationStarts = 1 << 16
+	// adopters is how many hosts send their next request to a target that joins; the others keep to the targets
+	// that they are connected to. Each decides by itself, and none does for two of a hundred targets.
+	adopters = 4
 	// defaultWork is the time that work of an unknown route is expected to take.
 	defaultWork = 100 * time.Millisecond
 )
@@ -165,6 +168,7 @@
 		t, ok := old[spec.Name]
 		if !ok || !t.Born.Equal(spec.Born) {
 			t = newTarget(now, spec)
+			t.adopted = len(old) > 0 && c.options.Random() < adopters*c.share
 		} else {
 			t.update(now, spec)
 		}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -79,6 +79,7 @@
 	quick    float64   // times taken relative to the route's base when nothing waits
 	limit    float64   // requests that this host may have running there, when only this target can run them
 	errors   average   // share of failures
+	adopted  bool      // has just joined and gets this host's next request
 }
 
 func newTarget(now time.Time, spec platform.Target) *target {
@@ -132,7 +133,10 @@
 	return t.slowness(now) * (1 + float64(t.running)/float64(max(1, t.Slots))) * (1 + errorCost*t.errors.value)
 }
 
-func (t *target) start(time.Time) { t.running++ }
+func (t *target) start(time.Time) {
+	t.running++
+	t.adopted = false
+}
 
 // Done ends an attempt.
 func (c *Core) Done(now time.Time, r *Request, result Result) {
