--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -106,8 +106,9 @@
 		t.Run(fmt.Sprint(offset), func(t *testing.T) {
 			b := New(start.Add(-time.Minute), limits)
 			random := rand.New(rand.NewPCG(uint64(offset), 1))
-			var requests, repeats []int
-			for i := range int(60 * time.Second / step) {
+			const steps = int(60 * time.Second / step)
+			requests, repeats := make([]int, 0, steps), make([]int, 0, steps)
+			for i := range steps {
 				now := start.Add(time.Duration(i) * step)
 				n := 0
 				// Waves that begin anywhere within a part, with pauses as long as a window.
--- a/ownership/rules_test.go
+++ b/ownership/rules_test.go
@@ -47,8 +47,9 @@
 	return d
 }
 
-// grantedTo reports whether some target but the first is given keys when time passes by steps until end.
-func (k *coordinator) grantedAfter(end time.Duration) time.Duration {
+// grantedAfter returns how long it takes until some target but the first is given keys, a minute at most.
+func (k *coordinator) grantedAfter() time.Duration {
+	const end = time.Minute
 	began := k.now
 	for k.now.Sub(began) < end {
 		for _, o := range k.core.Orders(k.now) {
@@ -111,7 +112,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			got := test.k(t).grantedAfter(time.Minute)
+			got := test.k(t).grantedAfter()
 			qt.Check(t, got >= test.least && got < time.Minute, qt.IsTrue, qt.Commentf("%s", got))
 		})
 	}
@@ -136,7 +137,7 @@
 		k.core.SetTargets(k.now, "stock", leaving)
 		k.write(t)
 		qt.Assert(t, k.answer(ReleaseKeys, 0, OrderDone) > 0, qt.IsTrue)
-		got := k.grantedAfter(time.Minute)
+		got := k.grantedAfter()
 		qt.Check(t, got < time.Second, qt.IsTrue, qt.Commentf("%s, earlier coordinator stopped first: %v", got, stoppedFirst))
 	}
 }
@@ -215,7 +216,7 @@
 	t.Run("under way", func(t *testing.T) {
 		k, _ := renewed(t, OrderUnsent)
 		release(t, k)
-		got := k.grantedAfter(time.Minute)
+		got := k.grantedAfter()
 		qt.Check(t, got >= testHold+OrderTimeout, qt.IsTrue, qt.Commentf("%s", got))
 	})
 	t.Run("answered by nothing long after the move", func(t *testing.T) {
@@ -224,7 +225,7 @@
 		k.wait(2 * time.Second)
 		k.core.Ordered(k.now, o, OrderUnanswered, "")
 		qt.Check(t, k.answer(ReleaseKeys, 0, OrderDone), qt.Equals, 2, qt.Commentf("the release is sent again"))
-		got := k.grantedAfter(time.Minute)
+		got := k.grantedAfter()
 		qt.Check(t, got >= testHold, qt.IsTrue, qt.Commentf("%s", got))
 	})
 	t.Run("to an owner that has its keys back", func(t *testing.T) {
