Let four hosts watch the store beside the coordinator

Nobody told the others of a configuration for 3.7 s. Change: four hosts watch beside the coordinator, one more for each 32 hosts. Test: TestSomeWatcherReachesTheStore (41 to 123 of 1,000 outages missed with two, 10 allowed). TestFewHostsWatch has eight hosts now, as four of them watch.

--- a/coordination/coordination_test.go
+++ b/coordination/coordination_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -212,27 +213,57 @@
 func TestFewHostsWatch(t *testing.T) {
 	c := qt.New(t)
 	l := &leader{process: "c", hosts: map[string]*reporter{}}
-	names := []string{"a", "b", "c", "d", "e"}
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
 	for _, name := range names {
 		l.hosts[name] = &reporter{}
 	}
-	watching := func() []string {
-		var out []string
+	watching := func() string {
+		out := ""
 		for _, name := range names {
 			if l.watches(names, name) {
-				out = append(out, name)
+				out += name
 			}
 		}
 		return out
 	}
-	c.Check(watching(), qt.DeepEquals, []string{"a", "b"})
+	c.Check(watching(), qt.Equals, "abde")
 	l.hosts["a"].storeLost = true
-	c.Check(watching(), qt.DeepEquals, []string{"a", "b", "d"})
+	c.Check(watching(), qt.Equals, "abdef")
 	l.hosts["a"].storeLost = false
 	l.hosts["a"].reluctant, l.hosts["b"].reluctant = true, true
-	c.Check(watching(), qt.DeepEquals, []string{"d", "e"}, qt.Commentf("small hosts come last"))
-	l.hosts["e"].reluctant = true
-	c.Check(watching(), qt.DeepEquals, []string{"a", "d"})
+	c.Check(watching(), qt.Equals, "defg", qt.Commentf("small hosts come last"))
+	l.hosts["e"].reluctant, l.hosts["f"].reluctant = true, true
+	c.Check(watching(), qt.Equals, "adgh", qt.Commentf("small hosts fill up"))
+}
+
+// However the store turns away a third of the hosts and the coordinator, some host that watches reaches it.
+func TestSomeWatcherReachesTheStore(t *testing.T) {
+	for _, hosts := range []int{8, 10, 64, 82} {
+		names := make([]string, 0, hosts)
+		l := &leader{process: "host-0", hosts: map[string]*reporter{}}
+		for i := range hosts {
+			names = append(names, fmt.Sprint("host-", i))
+			l.hosts[names[i]] = &reporter{}
+		}
+		random := rand.New(rand.NewPCG(1, 2))
+		const days = 1000
+		missed := 0
+		for range days {
+			away := map[string]bool{"host-0": true}
+			for len(away) < (hosts+2)/3 {
+				away[names[random.IntN(hosts)]] = true
+			}
+			reached := false
+			for _, name := range names {
+				reached = reached || l.watches(names, name) && !away[name]
+			}
+			if !reached {
+				missed++
+			}
+		}
+		// With two watchers 41 to 123 of a thousand.
+		qt.Check(t, missed <= days/100, qt.IsTrue, qt.Commentf("%d hosts: %d of %d", hosts, missed, days))
+	}
 }
 
 // A host says whether it is too small to coordinate.
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -19,8 +19,11 @@
 	stepInterval = 40 * time.Millisecond
 	// releaseTimeout bounds the wait for a release, which is answered when the work on the keys has ended.
 	releaseTimeout = Hold
-	// extraWatchers is how many hosts watch the store besides the coordinator, so that a silent loss of its path to the store delays nothing.
-	extraWatchers = 2
+	// extraWatchers is how many hosts of a small fleet watch the store besides the coordinator, and
+	// hostsPerWatcher how many hosts add one more. The store may turn a third of the hosts away in silence, the
+	// coordinator among them; with two, all three were among four of ten hosts in one of eight days.
+	extraWatchers   = 4
+	hostsPerWatcher = 32
 	// hostMemory is how long a host counts that no longer reports.
 	hostMemory = 2500 * time.Millisecond
 	// writeRetry is the time between attempts to write a change whose outcome is not known.
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -194,7 +194,7 @@
 // first that the coordinator has lost the store and succeed it, so hosts that
 // are too small for that come last.
 func (l *leader) watches(names []string, process string) bool {
-	n := 0
+	n, limit := 0, extraWatchers+len(names)/hostsPerWatcher
 	for _, reluctant := range []bool{false, true} {
 		for _, name := range names {
 			h := l.hosts[name]
@@ -204,7 +204,7 @@
 			if name == process {
 				return true
 			}
-			if n++; n == extraWatchers {
+			if n++; n == limit {
 				return false
 			}
 		}
