Begin a test of crashing requests when all targets are known

The test began when a host could serve, which one target is enough for; a host that knows only the target that just crashed refuses the next request, rightly. Change: the test waits until both hosts know all six targets, and shows the reason of a refusal. Every check and bound stays.

--- a/edge/guards_test.go
+++ b/edge/guards_test.go
@@ -123,6 +123,10 @@
 	}, plain("stock"))
 	r.serving(0, "/holders/1")
 	r.serving(1, "/holders/1")
+	// A host that knows only the target that crashed would refuse for want of others.
+	r.eventually("all targets are known", func() bool {
+		return r.edges[0].Known("stock") == len(servers) && r.edges[1].Known("stock") == len(servers)
+	})
 	crashes := func() int {
 		n := 0
 		for _, s := range servers {
@@ -138,7 +142,8 @@
 		return r.do(call{host: host, path: "/holders/poison", headers: map[string]string{standin.CrashHeader: "1"}})
 	}
 	c.Assert(poison(0).status, qt.Equals, http.StatusBadGateway)
-	c.Assert(r.do(call{path: "/holders/poison"}).status, qt.Equals, http.StatusOK, qt.Commentf("an answer clears it"))
+	got := r.do(call{path: "/holders/poison"})
+	c.Assert(got.status, qt.Equals, http.StatusOK, qt.Commentf("an answer clears it: %s", got.body))
 	for crashes() < 3 {
 		c.Assert(poison(0).status, qt.Equals, http.StatusBadGateway)
 	}
