--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -283,9 +283,11 @@
 	c := qt.New(t)
 	r := newRig(t, 1)
 	r.server(standin.ServerOptions{Name: "a", Service: "stock"})
+	r.eventually("the target is listed", func() bool { return r.edges[0].Listed() == 1 })
 	answers := make(chan answer, 1)
 	go func() { answers <- r.do(call{path: "/holders/1"}) }()
-	time.Sleep(200 * time.Millisecond) // the request arrives, and the target is listed
+	r.eventually("the request arrives", func() bool { return r.edges[0].Active() == 1 })
 	r.configure([]platform.Route{route("stock", "/holders/", platform.Idempotent)}, plain("stock"))
-	c.Check((<-answers).status, qt.Equals, http.StatusOK)
+	got := <-answers
+	c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
 }
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -15,3 +15,13 @@
 	defer s.mu.Unlock()
 	return len(s.core.Views(time.Now()))
 }
+
+// Listed returns how many targets the daemon knows by their entries.
+func (e *Edge) Listed() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.targets.All(time.Now()))
+}
+
+// Active returns how many requests are in progress.
+func (e *Edge) Active() int64 { return e.active.Load() }
