Discard what a closed connection has not sent

Cause: a grant or release that is given up at its deadline leaves its bytes in the kernel's send buffer. After close() the kernel goes on sending them, here after 0.2, 0.6, 1.4, 3.0 and 6.2 s. A partition of 5.5 to 6.3 s that heals just before the last of these delivers a grant whose target's hold has lapsed and whose keys have moved: two owners. Ruled out: TCP_USER_TIMEOUT (set to 1.5 s all along, does not bound closed connections there); the target's check of tokens (the earlier owner has not seen the newer one). Change: all connections that a host opens are closed with a reset (SO_LINGER 0, set before the connection is opened, so that it holds for killed processes too). A coordinator sends no order in the last 1.5 s of its lease, the age up to which a paused process's order can arrive.

--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -28,7 +28,7 @@
 }
 
 // sendBatch sends the orders of a batch in turn and records their results. After
-// an unanswered order, and without a lease, the rest is recorded as unsent.
+// an unanswered order, and when the lease is about to expire, the rest is recorded as unsent.
 func (l *leader) sendBatch(ctx context.Context, batch []ownership.Order) {
 	result := ownership.OrderDone
 	for _, o := range batch {
@@ -36,7 +36,7 @@
 		if result == ownership.OrderUnanswered {
 			result = ownership.OrderNotSent
 		}
-		if result != ownership.OrderNotSent && l.holdsLease() {
+		if result != ownership.OrderNotSent && l.leaseOutlastsOrder() {
 			result, token = l.sendOrder(ctx, o)
 		} else {
 			result = ownership.OrderNotSent
@@ -45,10 +45,12 @@
 	}
 }
 
-func (l *leader) holdsLease() bool {
+// leaseOutlastsOrder reports whether an order that is sent now arrives, if at all, while
+// the lease is valid. A successor counts no order after the lease.
+func (l *leader) leaseOutlastsOrder() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.holdsLeaseLocked()
+	return !l.ended && now().Before(l.confirmedAt.Add(LeaseTime-platform.UnackedTimeout))
 }
 
 // submit runs f in the background, in a goroutine of its own if Submit rejects it.
--- a/coordination/orders_test.go
+++ b/coordination/orders_test.go
@@ -41,7 +41,8 @@
 	return l
 }
 
-// A coordinator sends no orders after its lease has expired or its coordination has ended.
+// A coordinator sends no orders that could arrive after its lease has expired, or after
+// its coordination has ended.
 func TestOrdersNeedALease(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -50,6 +51,7 @@
 	}{
 		{"confirmed", func(*leader) {}, 1},
 		{"lease expired", func(l *leader) { l.confirmedAt = now().Add(-LeaseTime) }, 0},
+		{"lease expires before a delayed order arrives", func(l *leader) { l.confirmedAt = now().Add(platform.UnackedTimeout/2 - LeaseTime) }, 0},
 		{"yielded", func(l *leader) { l.yieldTo(2) }, 0},
 		{"asked to yield to its own term", func(l *leader) { l.yieldTo(1) }, 1},
 	}
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -281,7 +281,9 @@
 	{"co-batch", "coordination/orders.go", `if result == ownership.OrderUnanswered {
 			result = ownership.OrderNotSent
 		}`, "", "./coordination"},
-	{"co-batch-lease", "coordination/orders.go", "if result != ownership.OrderNotSent && l.holdsLease() {", "if result != ownership.OrderNotSent {", "./coordination"},
+	{"co-batch-lease", "coordination/orders.go", "if result != ownership.OrderNotSent && l.leaseOutlastsOrder() {", "if result != ownership.OrderNotSent {", "./coordination"},
+	{"co-order-age", "coordination/orders.go", "LeaseTime-platform.UnackedTimeout", "LeaseTime", "./coordination"},
+	{"pl-linger", "platform/dial.go", "Linger{Onoff: 1, Linger: 0}", "Linger{}", "./platform"},
 	{"co-away", "coordination/reports.go", "if h := l.hosts[name]; name != l.process && h.watching && !h.storeUnreachable {", "if h := l.hosts[name]; h == nil {", "./coordination"},
 	{"co-away2", "coordination/reports.go", `if !l.member.options.StoreUnreachable() {
 		return false
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -50,6 +50,19 @@
 	}
 }
 
+// runRandomFaults runs until a violation, or for about 50 s with a fault every 0.4 s.
+func (s *simulation) runRandomFaults() {
+	s.takeOver(s.processes[0])
+	for range 120 {
+		s.run(time.Duration(100+s.random.IntN(600)) * time.Millisecond)
+		for _, p := range s.processes {
+			s.report(p)
+			s.confirmLease(p)
+		}
+		s.injectFault()
+	}
+}
+
 // TestNoTwoOwners checks that under random faults no two targets hold a key at the
 // same time, and that a key never changes its holder without a higher fencing token.
 func TestNoTwoOwners(t *testing.T) {
@@ -57,18 +70,26 @@
 	held, checks := 0, 0
 	for seed := range uint64(*simulationCount) {
 		s := newSimulation(seed)
-		s.takeOver(s.processes[0])
-		for range 120 {
-			s.run(time.Duration(100+s.random.IntN(600)) * time.Millisecond)
-			for _, p := range s.processes {
-				s.report(p)
-				s.confirmLease(p)
-			}
-			s.injectFault()
-		}
+		s.runRandomFaults()
 		c.Assert(s.violation, qt.Equals, "", qt.Commentf("seed %d", seed))
 		held, checks = held+s.heldChecks, checks+s.checks
 	}
 	t.Logf("keys had an owner %.1f%% of the time", 100*float64(held)/float64(checks))
 	c.Check(float64(held) > 0.3*float64(checks), qt.IsTrue, qt.Commentf("%d of %d", held, checks))
 }
+
+// TestAbandonedOrdersMustNotArrive checks that the simulation shows why platform.Dial
+// discards the unsent bytes of closed connections: with orders that arrive after they
+// were given up, two targets own a key.
+func TestAbandonedOrdersMustNotArrive(t *testing.T) {
+	const maxSimulations = 200
+	for seed := range uint64(maxSimulations) {
+		s := newSimulation(seed)
+		s.deliversAbandoned = true
+		if s.runRandomFaults(); s.violation != "" {
+			t.Logf("seed %d: %s", seed, s.violation)
+			return
+		}
+	}
+	t.Fatalf("no violation in %d simulations", maxSimulations)
+}
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -14,6 +14,8 @@
 	testHold    = 3 * time.Second
 	testLease   = 10 * time.Second
 	testTick    = 20 * time.Millisecond
+	// abandonedOrderAge is the age up to which deliversAbandoned delivers orders; a kernel retransmits for many seconds.
+	abandonedOrderAge = 13 * time.Second
 	testService = "stockroom"
 )
 
@@ -34,6 +36,8 @@
 	violation  string            // description of the first violation; empty if there is none
 	heldChecks int               // checks in which the key had a holder
 	checks     int
+	// deliversAbandoned makes orders that were given up during a partition arrive after it, at any age.
+	deliversAbandoned bool
 }
 
 // simulatedEvent is a function to call at a simulated time.
@@ -151,7 +155,7 @@
 	if p.core == nil {
 		return
 	}
-	if !s.now.Before(p.leaseConfirmedAt.Add(testLease)) {
+	if !s.now.Before(p.leaseConfirmedAt.Add(testLease - platform.UnackedTimeout)) {
 		return
 	}
 	p.core.SetTargets(s.now, testService, s.listedTargets())
@@ -218,6 +222,7 @@
 		return
 	case p.partitionedFrom[t]:
 		answer(GrantTimeout, OrderUnanswered, "")
+		s.retransmit(p, t, o, s.now)
 		return
 	case t.incarnation.Name != o.To.Name:
 		answer(2*time.Millisecond, OrderTargetReplaced, "")
@@ -246,6 +251,27 @@
 	}
 }
 
+// retransmit delivers an order when the partition ends, unless its connection has been
+// closed before: at the deadline of the order, or, while its process is paused, when the
+// kernel gives up.
+func (s *simulation) retransmit(p *process, t *fakeTarget, o Order, sent time.Time) {
+	limit := GrantTimeout
+	switch {
+	case s.deliversAbandoned:
+		limit = abandonedOrderAge
+	case p.paused:
+		limit = platform.UnackedTimeout
+	}
+	if s.now.Sub(sent) > limit || !t.up || t.incarnation.Name != o.To.Name {
+		return
+	}
+	if !p.partitionedFrom[t] {
+		s.carryOut(t, o, s.now)
+		return
+	}
+	s.after(testTick, func() { s.retransmit(p, t, o, sent) })
+}
+
 // targetAt returns the newest target with an address.
 func (s *simulation) targetAt(address netip.AddrPort) *fakeTarget {
 	for i := len(s.targets) - 1; i >= 0; i-- {
