Let hosts use the slots that owners of keys have free

The adaptive limit of a host at an owner takes a response above 2.5 times the baseline for a queue. With the users' processing times a fifth of all responses are that long without any queue, so the limit falls to 1 or 2 whatever the slots. Ruled out: keys that move (13 moves), failing owners, the retry budget. Change: a host may always use the slots that the estimated load of all hosts leaves free on average. With two slots that is what it could use before.

--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -33,9 +33,25 @@
 
 // keyedLimit returns the number of requests that this host may have running at a
 // target that owns keys. It is the adaptive limit of the target, but at least the
-// host's share of the target's slots and of keyedQueueDepth.
+// host's share of the target's slots and of keyedQueueDepth, and at least the slots
+// that are free on average. Processing times vary so much that the adaptive limit alone
+// falls to one at owners that are idle most of the time.
 func (s *Scheduler) keyedLimit(now time.Time, t *target) int {
-	return max(int(t.concurrencyLimit), int(math.Round(s.slotShare*(t.capacity(now)+keyedQueueDepth))))
+	shared := int(math.Round(s.slotShare * (t.capacity(now) + keyedQueueDepth)))
+	return max(int(t.concurrencyLimit), shared, s.freeSlots(now, t))
+}
+
+// freeSlots returns the number of slots of an owner of keys that the load of all hosts
+// leaves free on average. A request that waits here while its owner is idle gains nothing.
+func (s *Scheduler) freeSlots(now time.Time, t *target) int {
+	return int(t.capacity(now) * max(0, 1-s.utilisation(now, t)))
+}
+
+// utilisation estimates the load that all hosts offer to an owner of keys, as a
+// multiple of its capacity, from the requests that this host got for it.
+func (s *Scheduler) utilisation(now time.Time, t *target) float64 {
+	work := s.MeanProcessingTime().Seconds() * max(minSlowness, t.relativeBaseline)
+	return t.offered.perSecond(now) / max(s.slotShare, minSlotShare) * work / t.capacity(now)
 }
 
 // Next removes the first request from the queue that can be sent now, and returns
@@ -75,13 +91,21 @@
 	s.running++
 }
 
-// availableOwner returns the owner of r's key if it can get a request now, or nil.
-func (s *Scheduler) availableOwner(now time.Time, r *Request) *target {
+// owner returns the target that owns the key of r, or nil if r has no key or no owner is known.
+func (s *Scheduler) owner(r *Request) *target {
+	if !r.Keyed {
+		return nil
+	}
 	name, ok := s.options.Owner(r.Key)
 	if !ok {
 		return nil
 	}
-	t := s.targets[name]
+	return s.targets[name]
+}
+
+// availableOwner returns the owner of r's key if it can get a request now, or nil.
+func (s *Scheduler) availableOwner(now time.Time, r *Request) *target {
+	t := s.owner(r)
 	if t == nil || !t.available(now) || t.running >= s.keyedLimit(now, t) {
 		return nil
 	}
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"math/rand/v2"
 	"sort"
 	"testing"
@@ -21,6 +22,14 @@
 	urgent float64
 	// slowFactor is the additional slowdown of the first target if it is above 1.
 	slowFactor float64
+	// slots and queue describe each target; 0 means 2 slots and overloadQueueLength.
+	slots, queue int
+	// ownerLoads makes all requests keyed: each target owns one key, for which the offered load
+	// is the given multiple of the target's capacity. load is then unused.
+	ownerLoads []float64
+	// varied draws processing times from a log-normal distribution in which 3 of 100 requests
+	// take seven times as long, instead of a uniform one.
+	varied bool
 }
 
 const (
@@ -34,6 +43,7 @@
 type overloadResult struct {
 	sent, inTime, served, rejected, rejectedByTarget [3]int // by rank
 	lateRejections                                   int
+	queued                                           time.Duration // total time in the hosts' queues
 }
 
 type simulationEvent struct {
@@ -47,6 +57,19 @@
 	waiting  []func()
 }
 
+// workTime draws a processing time at a target of normal speed.
+func (o overloadSimulation) workTime(random *rand.Rand) time.Duration {
+	if !o.varied {
+		return time.Duration(float64(overloadWork) * (0.7 + 0.6*random.Float64()))
+	}
+	const sigma, tail, tailFactor = 0.8, 0.03, 7
+	x := math.Exp(sigma*random.NormFloat64()-sigma*sigma/2) / (1 + tail*(tailFactor-1))
+	if random.Float64() < tail {
+		x *= tailFactor
+	}
+	return time.Duration(float64(overloadWork) * x)
+}
+
 // run runs the simulation in virtual time.
 func (o overloadSimulation) run(seed uint64) overloadResult {
 	random := rand.New(rand.NewPCG(seed, 2))
@@ -60,22 +83,32 @@
 		events[i] = e
 	}
 	var res overloadResult
+	slots, queue := o.slots, o.queue
+	if slots == 0 {
+		slots, queue = 2, overloadQueueLength
+	}
 	specs := targets(o.targets)
 	simulated := map[string]*simulatedTarget{}
 	capacity := 0.0
-	for i, s := range specs {
+	arrivalRates := make([]float64, o.targets) // of keyed requests, by owner
+	for i := range specs {
+		specs[i].Slots = slots
 		slowdown := []float64{0.6, 1, 1.4}[i%3]
 		if i == 0 && o.slowFactor > 1 {
 			slowdown *= o.slowFactor
 		}
-		simulated[s.Name] = &simulatedTarget{slowdown: slowdown}
-		capacity += 2 / (overloadWork.Seconds() * slowdown)
+		simulated[specs[i].Name] = &simulatedTarget{slowdown: slowdown}
+		targetCapacity := float64(slots) / (overloadWork.Seconds() * slowdown)
+		capacity += targetCapacity
+		if o.ownerLoads != nil {
+			arrivalRates[i] = o.ownerLoads[i] * targetCapacity
+		}
 	}
 	schedulers := make([]*Scheduler, o.hosts)
 	for h := range schedulers {
 		schedulers[h] = New(Options{
 			DataCentre: "leicester", Random: random.Float64,
-			Owner:     func(uint16) (string, bool) { return "", false },
+			Owner:     func(key uint16) (string, bool) { return specs[key].Name, o.ownerLoads != nil },
 			Connected: func(string) bool { return true },
 		})
 		schedulers[h].SetTargets(now, specs)
@@ -84,7 +117,7 @@
 	var dispatch func(h int)
 	run := func(h int, d Dispatch, st *simulatedTarget, sent time.Time) {
 		st.running++
-		work := time.Duration(float64(overloadWork) * st.slowdown * (0.7 + 0.6*random.Float64()))
+		work := time.Duration(float64(o.workTime(random)) * st.slowdown)
 		after(work, func() {
 			st.running--
 			if len(st.waiting) > 0 {
@@ -106,10 +139,11 @@
 	dispatch = func(h int) {
 		for d, ok := schedulers[h].Next(now); ok; d, ok = schedulers[h].Next(now) {
 			st, sent := simulated[d.Target.Name], now
+			res.queued += d.TimeSinceArrival
 			switch {
-			case st.running < 2:
+			case st.running < slots:
 				run(h, d, st, sent)
-			case len(st.waiting) < overloadQueueLength:
+			case len(st.waiting) < queue:
 				st.waiting = append(st.waiting, func() { run(h, d, st, sent) })
 			default:
 				res.rejectedByTarget[d.Request.Rank]++
@@ -123,23 +157,33 @@
 			res.lateRejections++
 		}
 	}
-	var arrive func()
-	arrive = func() {
+	add := func(key int) {
 		h := random.IntN(o.hosts)
 		rank := 2
 		if random.Float64() < o.urgent {
 			rank = 1
 		}
 		r := newRequest(now, rank, overloadObjective, overloadDeadline)
-		r.Route = "all"
+		r.Route, r.Key, r.Keyed = "all", uint16(key), o.ownerLoads != nil
 		res.sent[rank]++
 		if rejection, ok := schedulers[h].Add(now, r); !ok {
 			reject(rejection)
 		}
 		dispatch(h)
-		after(time.Duration(random.ExpFloat64()/(capacity*o.load)*float64(time.Second)), arrive)
 	}
-	after(0, arrive)
+	var arrive func(key int, rate float64)
+	arrive = func(key int, rate float64) {
+		add(key)
+		after(time.Duration(random.ExpFloat64()/rate*float64(time.Second)), func() { arrive(key, rate) })
+	}
+	if o.ownerLoads == nil {
+		after(0, func() { arrive(0, capacity*o.load) })
+	}
+	for key, rate := range arrivalRates {
+		if rate > 0 {
+			after(0, func() { arrive(key, rate) })
+		}
+	}
 	var tick func()
 	tick = func() {
 		for h := range schedulers {
@@ -193,3 +237,50 @@
 		})
 	}
 }
+
+// TestKeyedLoad replays keyed load on targets of two and six slots: most owners are
+// calm, some are busy and one or two get more than they can serve. Processing times vary
+// as the users specify, so long responses are no sign of a queue at the owner. Calm owners
+// must get their requests at once, busy ones must not reject what they get.
+func TestKeyedLoad(t *testing.T) {
+	calm := []float64{0.2, 0.3, 0.4, 0.2, 0.3, 0.4, 0.5, 0.6}
+	busy := []float64{0.3, 0.5, 0.6, 0.7, 0.8, 0.85, 0.9, 1.1}
+	hot := []float64{0.3, 0.5, 0.6, 0.7, 0.8, 0.85, 1.5, 3}
+	tests := []struct {
+		name     string
+		config   overloadSimulation
+		inTime   float64       // minimum fraction answered in time, of what the owners can serve
+		queued   time.Duration // maximum mean time in a host's queue
+		rejected float64       // maximum fraction rejected by owners
+	}{
+		{"six slots, calm", overloadSimulation{hosts: 8, targets: 8, slots: 6, queue: 24, urgent: 0.25, ownerLoads: calm, varied: true}, 0.9, 3 * ms, 0.001},
+		{"six slots, busy", overloadSimulation{hosts: 8, targets: 8, slots: 6, queue: 24, urgent: 0.25, ownerLoads: busy, varied: true}, 0.8, 60 * ms, 0.01},
+		{"six slots, hot", overloadSimulation{hosts: 8, targets: 8, slots: 6, queue: 24, urgent: 0.25, ownerLoads: hot, varied: true}, 0.7, 60 * ms, 0.01},
+		{"two slots, calm", overloadSimulation{hosts: 8, targets: 8, slots: 2, queue: 8, urgent: 0.25, ownerLoads: calm, varied: true}, 0.9, 10 * ms, 0.001},
+		{"two slots, busy", overloadSimulation{hosts: 8, targets: 8, slots: 2, queue: 8, urgent: 0.25, ownerLoads: busy, varied: true}, 0.8, 60 * ms, 0.01},
+		{"two slots, hot", overloadSimulation{hosts: 8, targets: 8, slots: 2, queue: 8, urgent: 0.25, ownerLoads: hot, varied: true}, 0.7, 60 * ms, 0.01},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			servable := 0.0
+			offered := 0.0
+			for i, load := range test.config.ownerLoads {
+				rate := 1 / []float64{0.6, 1, 1.4}[i%3]
+				servable += min(1, load) * rate
+				offered += load * rate
+			}
+			for seed := range uint64(3) {
+				r := test.config.run(seed)
+				sent, inTime := r.sent[1]+r.sent[2], r.inTime[1]+r.inTime[2]
+				dispatched := r.served[1] + r.served[2]
+				t.Logf("in time %.3f urgent %.3f/%.3f queued %s rejected by owners %.4f, by hosts %.3f late %d", float64(inTime)/float64(sent)/servable*offered, ratio(r.inTime, r.sent, 1), ratio(r.inTime, r.sent, 2),
+					r.queued/time.Duration(dispatched), float64(r.rejectedByTarget[1]+r.rejectedByTarget[2])/float64(sent), float64(r.rejected[1]+r.rejected[2])/float64(sent), r.lateRejections)
+				comment := qt.Commentf("seed %d: %+v", seed, r)
+				c.Check(float64(inTime)*offered >= test.inTime*float64(sent)*servable, qt.IsTrue, comment)
+				c.Check(r.queued <= test.queued*time.Duration(dispatched), qt.IsTrue, comment)
+				c.Check(float64(r.rejectedByTarget[1]+r.rejectedByTarget[2]) <= test.rejected*float64(sent), qt.IsTrue, comment)
+			}
+		})
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -113,6 +113,8 @@
 	overcommit = 1.5
 	// keyedQueueDepth is the number of requests of all hosts together that may queue at the owner of a key.
 	keyedQueueDepth = 2
+	// minSlotShare bounds the estimate of all hosts' requests from those of one host.
+	minSlotShare = 0.001
 	// deadlineMargin is the slack required before a deadline, as a fraction of the expected time; times vary.
 	deadlineMargin = 0.3
 	// responseTimeMaxAge is the age of a route's last observation beyond which defaultResponseTime bounds its
@@ -190,6 +192,9 @@
 	r.arrived = now
 	s.sequence++
 	r.sequence = s.sequence
+	if t := s.owner(r); t != nil {
+		t.offered.add(now)
+	}
 	return s.enqueue(now, r)
 }
 
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -77,15 +77,16 @@
 	platform.Target
 
 	running               int
-	warmAt                time.Time // when a cold target reaches its full speed
-	pausedUntil           time.Time // end of the backoff; it gets no requests before
-	consecutiveFailures   int       // since the last complete response
-	consecutiveRejections int       // since the last complete response
-	relativeTime          average   // response times as multiples of the route's mean
-	relativeBaseline      float64   // response time without queueing, as a multiple of the route's baseline
-	concurrencyLimit      float64   // keyed requests that this host may have running there
-	errorRate             average   // fraction of attempts that failed
-	probePending          bool      // newly listed; gets this host's next request
+	warmAt                time.Time   // when a cold target reaches its full speed
+	pausedUntil           time.Time   // end of the backoff; it gets no requests before
+	consecutiveFailures   int         // since the last complete response
+	consecutiveRejections int         // since the last complete response
+	relativeTime          average     // response times as multiples of the route's mean
+	relativeBaseline      float64     // response time without queueing, as a multiple of the route's baseline
+	concurrencyLimit      float64     // keyed requests that this host may have running there
+	errorRate             average     // fraction of attempts that failed
+	offered               offeredRate // keyed requests that this host got for it
+	probePending          bool        // newly listed; gets this host's next request
 }
 
 func newTarget(now time.Time, spec platform.Target) *target {
