Bound responses without end

Errors did not name the target or the bytes. Ruled out: memory (bodies over 256 kB are streamed), trailers and chunk extensions (bounded by the library), bodies of successes (cut at the route's timeout; the caller's response is not complete). Errors name the target and the bytes read.

--- a/edge/faults_test.go
+++ b/edge/faults_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -221,6 +223,52 @@
 	c.Check(h.do(long).err, qt.IsNotNil)
 }
 
+// A target that sends a body without end is cut off at the route's timeout, and the
+// caller's response does not look complete. The body is not held in memory.
+func TestEndlessBodyIsCutAtTheTimeout(t *testing.T) {
+	const timeout = 500 * time.Millisecond
+	c := qt.New(t)
+	h := newHarness(t, 1)
+	closed := make(chan int64, 1)
+	endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		platform.SetResponseMeta(w.Header(), "a", platform.ResponseMeta{ID: platform.ReadRequestMeta(r.Header).ID, Signed: true})
+		block, sent := make([]byte, 64<<10), int64(0)
+		for {
+			n, err := w.Write(block)
+			sent += int64(n)
+			if err != nil {
+				closed <- sent
+				return
+			}
+		}
+	}))
+	defer endless.Close()
+	entry, err := platform.EncodeTarget(platform.Target{
+		Name: "a", StartedAt: time.Now(), Service: "stock", Address: netip.MustParseAddrPort(endless.Listener.Addr().String()), Slots: 2,
+	}, 1)
+	c.Assert(err, qt.IsNil)
+	_, err = h.store.Put(context.Background(), platform.KindTargets, "a", entry, platform.Unconditional())
+	c.Assert(err, qt.IsNil)
+	h.configure([]platform.Route{
+		route("stock", "/holders/", platform.AtMostOnce, func(r *platform.Route) { r.Timeout = timeout }),
+	}, plain("stock"))
+	h.eventually("the target gets a request", func() bool {
+		began := time.Now()
+		got := h.do(call{path: "/holders/1"})
+		if got.err == nil {
+			return false // not in force yet
+		}
+		c.Check(time.Since(began) < 4*timeout, qt.IsTrue)
+		return true
+	})
+	select {
+	case sent := <-closed:
+		c.Check(sent > 0, qt.IsTrue)
+	case <-time.After(5 * time.Second):
+		c.Error("the connection to the target is still open")
+	}
+}
+
 // A body over the limit never reaches a target completely, even without a length.
 func TestChunkedBodyOverLimitIsRejected(t *testing.T) {
 	tests := []struct {
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -28,7 +28,7 @@
 // conn is a connection to a target.
 type conn struct {
 	*net.TCPConn
-	limit   *io.LimitedReader // bounds the bytes of a response's head
+	limit   *limitedReader // bounds the bytes of a response's head
 	reader  *bufio.Reader
 	expires time.Time // when an idle connection must no longer be used
 	closed  atomic.Bool
@@ -45,10 +45,37 @@
 	case err != nil:
 		return nil, eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
 	}
-	limit := &io.LimitedReader{R: tcp, N: maxHeadBytes}
+	limit := &limitedReader{source: tcp}
 	return &conn{TCPConn: tcp, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), expires: time.Now().Add(defaultIdleTimeout)}, nil
 }
 
+// limitedReader reads from a connection, counts the bytes and fails beyond a limit. A
+// faulty target may send bytes without end.
+type limitedReader struct {
+	source io.Reader
+	read   int64 // bytes read from the connection
+	limit  int64 // value of read at which reading fails; 0 means that there is no limit
+}
+
+// limitTo makes reading fail after n further bytes.
+func (l *limitedReader) limitTo(n int64) { l.limit = l.read + n }
+
+// unlimit removes the limit.
+func (l *limitedReader) unlimit() { l.limit = 0 }
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.limit > 0 {
+		left := l.limit - l.read
+		if left <= 0 {
+			return 0, eris.Wrapf(ErrInvalidResponse, "head is longer than %d bytes", maxHeadBytes)
+		}
+		p = p[:min(int64(len(p)), left)]
+	}
+	n, err := l.source.Read(p)
+	l.read += int64(n)
+	return n, err
+}
+
 // close closes the connection. It may be called more than once.
 func (c *conn) close() {
 	if !c.closed.Swap(true) {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -67,7 +67,7 @@
 	maxInlineBody = 16 << 10
 	// MaxBufferedBody is the size in bytes up to which the body of a response is buffered completely.
 	MaxBufferedBody = 256 << 10
-	// maxHeadBytes bounds the status line and headers of a response.
+	// maxHeadBytes bounds the status line and headers of a response, including 1xx responses before it.
 	maxHeadBytes = 256 << 10
 	// maxStrayResponses is the number of responses to other requests after which the exchange fails.
 	maxStrayResponses = 3
@@ -224,7 +224,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded), ctx.Err() != nil:
 		return eris.Wrapf(ErrTimeout, "%s", c.RemoteAddr())
 	case eris.Is(err, ErrInvalidResponse):
-		return err
+		return eris.Wrapf(err, "%s: %d bytes read on the connection", c.RemoteAddr(), c.limit.read)
 	}
 	return eris.Wrapf(ErrConnectionFailed, "%s: %v", c.RemoteAddr(), err)
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -398,6 +398,74 @@
 	c.Check(MayHaveRun(err), qt.IsTrue)
 }
 
+// TestEndlessResponses checks that bytes without end in a response cost bounded memory
+// and time: the exchange fails long before its deadline, closes the connection and names
+// the target and the number of bytes. The target sends until the connection is closed.
+func TestEndlessResponses(t *testing.T) {
+	const deadline = 20 * time.Second
+	tests := []struct {
+		name, begin, repeat string
+	}{
+		{"no line end", "HTTP/1.1 200 OK", "x"},
+		{"no protocol", "", "\x00\xff\n"},
+		{"headers", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		{"one header", "HTTP/1.1 200 OK\r\nA: ", "b"},
+		{"1xx responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"chunk extension", "HTTP/1.1 200 OK\r\n" + signedHeaders + "Transfer-Encoding: chunked\r\n\r\n2;", "x"},
+		{"trailers", "HTTP/1.1 200 OK\r\n" + signedHeaders + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "A: b\r\n"},
+		{"responses to other requests", "", "HTTP/1.1 200 OK\r\n" + responseHeaders(platform.ResponseMeta{ID: "x", Signed: true}) + "Content-Length: 2\r\n\r\nno"},
+		{"body of another request's response", "HTTP/1.1 200 OK\r\n" + responseHeaders(platform.ResponseMeta{ID: "x", Signed: true}) + "\r\n", "x"},
+		{"body of an error", "HTTP/1.1 500 Oops\r\n" + signedHeaders + "\r\n", "x"},
+		{"body of an unsigned success", "HTTP/1.1 200 OK\r\n" + responseHeaders(platform.ResponseMeta{ID: "ID"}) + "\r\n", "x"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = ln.Close() }()
+			closed := make(chan struct{})
+			go sendWithoutEnd(ln, test.begin, test.repeat, closed)
+			address := netip.MustParseAddrPort(ln.Addr().String())
+			client := New(address, Options{MaxIdle: 2, Spawn: func(f func()) error { go f(); return nil }})
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), deadline)
+			defer cancel()
+			began := time.Now()
+			_, err = client.Do(ctx, newRequest("ID", ""))
+			c.Check(eris.Is(err, ErrInvalidResponse) || eris.Is(err, ErrConnectionFailed), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(err, qt.ErrorMatches, "(?s).*"+address.String()+".*")
+			c.Check(MayHaveRun(err), qt.IsTrue)
+			c.Check(time.Since(began) < deadline/4, qt.IsTrue)
+			c.Check(client.HasIdle(), qt.IsFalse)
+			select {
+			case <-closed:
+			case <-time.After(deadline / 4):
+				c.Error("the connection is still open")
+			}
+		})
+	}
+}
+
+// sendWithoutEnd accepts one connection and sends begin once and then repeat until
+// the connection is closed. It then closes the channel.
+func sendWithoutEnd(ln net.Listener, begin, repeat string, closed chan<- struct{}) {
+	defer close(closed)
+	conn, err := ln.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return
+	}
+	text := begin
+	for err == nil {
+		_, err = io.WriteString(conn, text)
+		text = strings.Repeat(repeat, 1000)
+	}
+}
+
 // On a reused connection, a response without an ID may belong to an earlier
 // request; it is skipped.
 func TestResponseWithoutIDOnAReusedConnectionIsSkipped(t *testing.T) {
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -31,6 +31,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(resp.Body) > MaxBufferedBody && resp.Status >= 300 && resp.Length < 0 {
+		return nil, eris.Wrapf(ErrInvalidResponse, "status %d: body of unknown length is longer than %d bytes", resp.Status, MaxBufferedBody)
+	}
 	if len(resp.Body) <= MaxBufferedBody {
 		resp.Length = int64(len(resp.Body))
 		x.finish(httpResp)
@@ -41,22 +44,23 @@
 	return resp, nil
 }
 
-// readHead reads the head of the next final response and skips 1xx responses.
+// readHead reads the head of the next final response and skips 1xx responses. The
+// limit applies to all of them together.
 func (x *exchange) readHead() (*http.Response, error) {
+	x.conn.limit.limitTo(maxHeadBytes)
 	for {
-		x.conn.limit.N = maxHeadBytes
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
-			if isConnectionError(err) {
+			if isConnectionError(err) || eris.Is(err, ErrInvalidResponse) {
 				return nil, err
 			}
 			return nil, eris.Wrapf(ErrInvalidResponse, "%v", err)
 		}
-		x.conn.limit.N = 1 << 62 // the limit applies to the head only
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, eris.Wrap(ErrInvalidResponse, "unexpected status 101 Switching Protocols")
 		}
 		if resp.StatusCode >= 200 {
+			x.conn.limit.unlimit()
 			return resp, nil
 		}
 	}
