--- a/cmd/redwingtally-lab/main.go
+++ b/cmd/redwingtally-lab/main.go
@@ -3,15 +3,19 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"github.com/redwingtally/redwingtally/lab/crest"
+	"github.com/redwingtally/redwingtally/lab/days"
 	"github.com/redwingtally/redwingtally/lab/load"
 )
 
@@ -48,9 +52,42 @@
 	return crest.Print(os.Stdout, crest.RunAll())
 }
 
+type daysCommand struct {
+	Catalogue string `long:"catalogue" default:"deploy/faults.yaml" description:"file with the kinds of faults and planned work"`
+	Directory string `long:"out" default:"." description:"directory in which the day files are created"`
+	Seed      uint64 `long:"seed" default:"1" description:"seed of the first day; each further day has the next one"`
+	Count     uint64 `long:"count" default:"1" description:"number of days"`
+}
+
+// Execute draws days and prints the name of the file of each.
+func (c *daysCommand) Execute([]string) error {
+	file, err := os.Open(c.Catalogue)
+	if err != nil {
+		return err
+	}
+	catalogue, err := days.Load(file)
+	if err := errors.Join(err, file.Close()); err != nil {
+		return err
+	}
+	for seed := c.Seed; seed < c.Seed+c.Count; seed++ {
+		var text bytes.Buffer
+		d := catalogue.Draw(seed)
+		if err := d.Write(&text); err != nil {
+			return err
+		}
+		path := filepath.Join(c.Directory, d.Name+".toml")
+		if err := os.WriteFile(path, text.Bytes(), 0o644); err != nil {
+			return err
+		}
+		fmt.Println(path)
+	}
+	return nil
+}
+
 func main() {
 	parser := flags.NewParser(nil, flags.Default)
 	addCommand(parser, "load", "send requests to running daemons and check the responses", &loadCommand{})
+	addCommand(parser, "days", "draw days of faults for the users' bench", &daysCommand{})
 	addCommand(parser, "crest", "simulate the dispatch core and baselines in virtual time", &crestCommand{})
 	if _, err := parser.Parse(); err != nil && !flags.WroteHelp(err) {
 		os.Exit(1)
