Log large lists in a bounded number of lines

Cause: a list of the targets was logged one line a target on each host, 143,464 lines in the first ten seconds of 295 hosts. Change: of changes that arrive together, 16 are logged one by one and the others counted in one line.

--- a/edge/watch.go
+++ b/edge/watch.go
@@ -167,18 +167,24 @@
 	e.watchWhenAssigned(ctx, platform.KindTargets, targetsWatchPause)
 }
 
+// maxLoggedEntries is the number of changed entries in one batch that are logged one by one. A
+// list of a large fleet changes hundreds at once.
+const maxLoggedEntries = 16
+
 // applyObjects applies changes of the store's objects, received from the store or
 // from another host.
 func (e *Edge) applyObjects(changes []platform.Object) {
 	changed := false
+	targets := targetBatch{edge: e}
 	for _, o := range changes {
 		switch {
 		case o.Kind == platform.KindTargets:
-			changed = e.applyTarget(o) || changed
+			changed = targets.apply(o) || changed
 		case o.Kind == platform.KindConfiguration && o.Name == platform.NameConfiguration && !o.Deleted:
 			changed = e.applyConfiguration(o) || changed
 		}
 	}
+	targets.logRest()
 	if changed {
 		e.updateServices()
 	}
@@ -212,9 +218,19 @@
 	return true
 }
 
-// applyTarget applies a change of one entry to the directory and reports whether
-// the directory changed. A malformed entry counts as removed.
-func (e *Edge) applyTarget(o platform.Object) bool {
+// targetBatch applies changes of targets' entries that arrived together. It logs the
+// first maxLoggedEntries of them and the number of the others.
+type targetBatch struct {
+	edge                                  *Edge
+	logged                                int
+	changed, draining, removed, malformed int              // changes that were not logged
+	version                               platform.Version // of the last of these
+}
+
+// apply applies a change of one entry to the directory and reports whether the
+// directory changed. A malformed entry counts as removed.
+func (b *targetBatch) apply(o platform.Object) bool {
+	e := b.edge
 	var t platform.Target
 	var err error
 	if !o.Deleted {
@@ -229,18 +245,48 @@
 	}
 	changed := e.targets.Version() != before
 	e.mu.Unlock()
+	if !o.Deleted && err == nil && !changed {
+		return false
+	}
+	if b.logged >= maxLoggedEntries {
+		b.count(o, t, err)
+		return changed
+	}
+	b.logged++
 	switch {
 	case o.Deleted:
 		e.log.Info("directory: Entry removed.", "target", o.Name, "version", uint64(o.Version))
 	case err != nil:
 		e.log.Warn("directory: Entry does not describe a target.", "entry", o.Name, "error", err.Error())
-	case changed:
+	default:
 		e.log.Info("directory: Target changed.", "target", t.Name, "service", t.Service, "address", t.Address.String(),
 			"draining", t.Draining, "born", t.StartedAt.UnixMilli(), "cold_ms", t.WarmupLeft.Milliseconds(), "version", uint64(o.Version))
 	}
 	return changed
 }
 
+// count counts a change that is not logged.
+func (b *targetBatch) count(o platform.Object, t platform.Target, err error) {
+	b.version = max(b.version, o.Version)
+	switch {
+	case o.Deleted:
+		b.removed++
+	case err != nil:
+		b.malformed++
+	case t.Draining:
+		b.draining++
+	default:
+		b.changed++
+	}
+}
+
+// logRest logs the number of changes that were not logged one by one.
+func (b *targetBatch) logRest() {
+	if n := b.changed + b.draining + b.removed + b.malformed; n > 0 {
+		b.edge.log.Info("directory: Further entries changed.", "entries", n, "draining", b.draining, "removed", b.removed, "malformed", b.malformed, "version", uint64(b.version))
+	}
+}
+
 // expireTargets removes targets whose entries were removed and not restored. It
 // runs until ctx ends.
 func (e *Edge) expireTargets(ctx context.Context) {
