Encode what all hosts lack once, and report only observed targets

A reply with a configuration of 20 kB took 1.4 ms to encode, one with 20 targets 0.26 ms, each for 295 hosts at once; a report about 297 targets took 0.3 ms to decode (benchmarks on a busy machine). Ruled out: the plan (5 to 7 ms with 89 new targets), the document (91 kB), the holdings (0.03 ms). Change: parts of replies are encoded once for all hosts that lack the same. Hosts report the slowness of targets that responded since their last report. The coordinator watches at most once in 1 ms times the hosts.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -60,6 +60,7 @@
 	crashes          *quarantine.Table
 	rejectedCount    uint64 // grows with every refused fingerprint
 	views            views
+	replies          replyCache
 	publishedAt      time.Time     // when the last view was published
 	publishScheduled bool          // whether a timer will publish the next view
 	changed          chan struct{} // closed and replaced when waiting reports must check for changes
--- a/coordination/message.go
+++ b/coordination/message.go
@@ -90,6 +90,9 @@
 	// ConfirmationAge is the time since the store last confirmed that the sender of the reply coordinates, in
 	// nanoseconds on the wire.
 	ConfirmationAge time.Duration `json:"store_age"`
+
+	sharedView *shared[*View]      // View, if it is shared with other replies
+	sharedFeed *shared[feed.Delta] // Feed, if it is shared with other replies
 }
 
 // codec encodes messages as JSON. The codecs of connect accept only protobuf
@@ -98,7 +101,12 @@
 
 func (codec) Name() string { return "json" }
 
-func (codec) Marshal(v any) ([]byte, error) { return json.Marshal(v) }
+func (codec) Marshal(v any) ([]byte, error) {
+	if r, ok := v.(*Reply); ok {
+		return r.marshal()
+	}
+	return json.Marshal(v)
+}
 
 func (codec) Unmarshal(data []byte, v any) error {
 	if err := json.Unmarshal(data, v); err != nil {
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -190,8 +190,14 @@
 	s := l.summarise(t, r.Process)
 	reply := &Reply{Rates: s.rates, ConfirmationAge: t.Sub(l.confirmedAt), Hosts: l.hostCount(t)}
 	reply.Index, _ = slices.BinarySearch(s.names, r.Process)
-	reply.View = l.views.since(r.View)
-	reply.Feed, reply.FeedVersions = l.member.options.Feed.ChangesSince(r.FeedVersions), l.member.options.Feed.ConfirmedVersions()
+	if reply.sharedView = l.replies.view(&l.views, r.View); reply.sharedView != nil {
+		reply.View = reply.sharedView.value
+	}
+	// The versions are read first: a change in between is sent again, and not missed.
+	reply.FeedVersions = l.member.options.Feed.ConfirmedVersions()
+	if reply.sharedFeed = l.replies.delta(l.member.options.Feed, reply.FeedVersions, r.FeedVersions); reply.sharedFeed != nil {
+		reply.Feed = reply.sharedFeed.value
+	}
 	reply.StoreUnavailable = l.storeUnavailable(s.names)
 	reply.WatchStore = l.shouldWatch(s.names, r.Process)
 	return reply
--- a/edge/service.go
+++ b/edge/service.go
@@ -213,12 +213,7 @@
 	if !s.spec.Keyed {
 		return value, ownership.Report{}, false
 	}
-	r := ownership.Report{Keys: s.keyCounts, Slowness: map[string]float64{}, ProcessingTime: s.scheduler.MeanProcessingTime()}
-	for _, v := range s.scheduler.TargetStates(now) {
-		if v.Running > 0 || v.Slowness != 1 {
-			r.Slowness[v.Name] = v.Slowness
-		}
-	}
+	r := ownership.Report{Keys: s.keyCounts, Slowness: s.scheduler.ObservedSlowness(now), ProcessingTime: s.scheduler.MeanProcessingTime()}
 	s.keyCounts = map[uint16]int{}
 	return value, r, true
 }
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -15,6 +15,9 @@
 	// short because changes must be in force within two seconds.
 	configurationWatchPause = 100 * time.Millisecond
 	targetsWatchPause       = 200 * time.Millisecond
+	// watchPausePerHost times the number of hosts is the least pause of the coordinator, as it sends each change to
+	// all hosts.
+	watchPausePerHost = time.Millisecond
 	// backupWatchPause is the time between two watches by a backup watcher, a host that watches in addition to
 	// the coordinator. Together with the time to detect a lost coordinator it stays within these two seconds.
 	backupWatchPause = 700 * time.Millisecond
@@ -102,7 +105,7 @@
 	if e.member.IsBackupWatcher() {
 		return backupWatchPause
 	}
-	return pause
+	return max(pause, time.Duration(e.member.State().Hosts)*watchPausePerHost)
 }
 
 // storeFailed records that listing the objects of a kind failed.
--- a/scheduler/response_time_test.go
+++ b/scheduler/response_time_test.go
@@ -62,3 +62,23 @@
 		})
 	}
 }
+
+// Only targets that responded since the last call are reported as slow or fast. A report of
+// each of 300 hosts about all of 300 targets took half of a core at the coordinator.
+func TestObservedSlownessIsReportedOnce(t *testing.T) {
+	c := qt.New(t)
+	sched := newScheduler(keyOwners{1: "t1"})
+	sched.SetTargets(start, targets(3))
+	c.Check(sched.ObservedSlowness(start), qt.HasLen, 0)
+	r := newRequest(start, 0, time.Second, time.Minute)
+	r.Key, r.Keyed = 1, true
+	_, ok := sched.Add(start, r)
+	c.Assert(ok, qt.IsTrue)
+	_, ok = sched.Next(start)
+	c.Assert(ok, qt.IsTrue)
+	sched.Finish(start.Add(100*ms), r, Result{Outcome: Answered, ResponseTime: 100 * ms})
+	observed := sched.ObservedSlowness(start.Add(100 * ms))
+	c.Check(observed, qt.HasLen, 1)
+	c.Check(observed["t1"] > 0, qt.IsTrue)
+	c.Check(sched.ObservedSlowness(start.Add(200*ms)), qt.HasLen, 0)
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -85,6 +85,7 @@
 	relativeBaseline      float64     // response time without queueing, as a multiple of the route's baseline
 	concurrencyLimit      float64     // keyed requests that this host may have running there
 	errorRate             average     // fraction of attempts that failed
+	observed              bool        // a response time was recorded since the last call of ObservedSlowness
 	offered               offeredRate // keyed requests that this host got for it
 	probePending          bool        // newly listed; gets this host's next request
 }
@@ -202,6 +203,7 @@
 	t.relativeTime.add(min(relative, maxRelativeTime))
 	route.add(min(responseTime.Seconds(), maxRelativeTime*route.value))
 	route.updatedAt = now
+	t.observed = true
 	if !s.overallResponseTime.initialised {
 		s.overallResponseTime.value, s.overallResponseTime.baseline = responseTime.Seconds(), responseTime.Seconds()
 	}
@@ -292,6 +294,20 @@
 	return out
 }
 
+// ObservedSlowness returns the response time, as a multiple of the mean, of each target that
+// responded since the last call. In a large fleet a host uses few of the targets between two
+// reports, and the reports of all hosts arrive at one.
+func (s *Scheduler) ObservedSlowness(now time.Time) map[string]float64 {
+	out := map[string]float64{}
+	for _, t := range s.ordered {
+		if t.observed {
+			t.observed = false
+			out[t.Name] = t.slowness(now)
+		}
+	}
+	return out
+}
+
 // MeanProcessingTime returns the estimated mean processing time of the service's
 // requests without queueing at the target, or 0 if there are no observations. It
 // measures the capacity of a target. MeanResponseTime grows with the queues, so that
