Renew keys until a coordinator that stops can be succeeded

No other host could take over, the keys ran out after three seconds, and 900 requests got the wrong target until the store was back, two seconds before the platform would have ended the process. Ruled out: a successor named ahead (needs a store that answers). Change: a coordinator that is told to stop reads the document first; while the store does not answer it goes on, until half a second before its time to stop is over. It does not try the write, whose outcome could stay unknown. Measured: TestCoordinatorResignsOnlyIfTheStoreAnswers; guard co-resign-store.

--- a/coordination/coordination_test.go
+++ b/coordination/coordination_test.go
@@ -132,7 +132,7 @@
 		end  func(h *testHost)
 	}{
 		{"killed", (*testHost).stop},
-		{"resigns", func(h *testHost) { h.Resign(); h.cancel() }},
+		{"resigns", func(h *testHost) { h.Resign(context.Background()); h.cancel() }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -174,7 +174,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			m := startHosts(t, 1)[0].Member
-			m.Resign()
+			m.Resign(context.Background())
 			waitFor(t, "resigned", func() bool { return !m.Leading() })
 			m.yieldTo(test.yields)
 			c.Check(m.setLeader(&leader{}, 2), qt.Equals, test.want)
@@ -189,7 +189,7 @@
 	c := qt.New(t)
 	hosts := startHosts(t, 2)
 	old := leaders(hosts)[0]
-	old.Resign()
+	old.Resign(context.Background())
 	waitFor(t, "the other host coordinates", func() bool {
 		l := leaders(hosts)
 		return len(l) == 1 && l[0] != old
@@ -199,13 +199,51 @@
 	c.Check(old.Leading(), qt.IsFalse)
 
 	alone := startHosts(t, 1)[0]
-	alone.Resign()
+	alone.Resign(context.Background())
 	for range 60 {
 		time.Sleep(10 * time.Millisecond) // in total several times the duration of a takeover
 		c.Assert(alone.Leading(), qt.IsFalse)
 	}
 }
 
+// A coordinator that is stopped while the store does not answer renews the keys until
+// the store answers or its time to stop is over. On incident inc-cb60 of grbc-gateway the keys
+// ran out three seconds after the coordinator's planned stop, and 900 requests were refused.
+func TestCoordinatorResignsOnlyIfTheStoreAnswers(t *testing.T) {
+	tests := []struct {
+		name    string
+		recover bool
+	}{{"store recovers", true}, {"time to stop ends", false}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{})
+			c.Assert(err, qt.IsNil)
+			t.Cleanup(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+				defer cancel()
+				_ = p.Stop(ctx)
+			})
+			h := startHost(t, "h0", p.Address())
+			waitFor(t, "the host coordinates", h.Leading)
+			p.SetFaults(standin.PlatformFaults{Unavailable: true})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			resigned := make(chan struct{})
+			go func() { h.Resign(ctx); close(resigned) }()
+			time.Sleep(3 * resignRetryInterval)
+			c.Check(h.Leading(), qt.IsTrue)
+			if test.recover {
+				p.SetFaults(standin.PlatformFaults{})
+			} else {
+				cancel()
+			}
+			<-resigned
+			waitFor(t, "the host no longer coordinates", func() bool { return !h.Leading() })
+		})
+	}
+}
+
 // A small host that coordinates hands over to a larger one, and does not take over again
 // while that one runs. On large fleets most hosts are small, and their links cannot carry
 // the replies to all hosts.
@@ -257,7 +295,7 @@
 	}
 	waitFor(t, "all hosts report", func() bool { return hosts[0].State().Hosts == len(hosts) })
 	before := p.Counts().Reads
-	hosts[0].Resign()
+	hosts[0].Resign(context.Background())
 	hosts[0].stop()
 	waitFor(t, "all hosts follow the successor", func() bool {
 		for _, h := range hosts[1:] {
--- a/coordination/document.go
+++ b/coordination/document.go
@@ -119,8 +119,9 @@
 	}
 }
 
-// resignTimeout limits the write that removes the coordinator from the document.
-const resignTimeout = 500 * time.Millisecond
+// ResignTimeout limits the write that removes the coordinator from the document. Resign takes
+// no longer once its context has ended.
+const ResignTimeout = 500 * time.Millisecond
 
 // resign ends the coordination and removes this process from the document, so
 // that a successor need not wait for the lease to expire. It does not change the
@@ -134,7 +135,7 @@
 	if proposed || d == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), ResignTimeout)
 	defer cancel()
 	vacant := *d
 	vacant.Coordinator = ""
@@ -151,14 +152,42 @@
 }
 
 // Resign ends the coordination by this process, if it coordinates, and keeps it
-// from taking over again.
-func (m *Member) Resign() {
+// from taking over again. While the store does not answer, no other host can take over
+// and the keys would run out, so the process continues to renew them until the store
+// answers or ctx ends.
+func (m *Member) Resign(ctx context.Context) {
 	m.suspendCandidacy(resignedPeriod)
-	if l := m.currentLeader(); l != nil {
-		l.resign()
+	l := m.currentLeader()
+	if l == nil {
+		return
+	}
+	for waited := false; ctx.Err() == nil && !l.hasEnded() && !m.storeAnswers(ctx); waited = true {
+		if !waited {
+			m.options.Log.Warn("coordination: Store does not answer. Coordinating until it does or the process ends.")
+		}
+		sleep(ctx, resignRetryInterval)
 	}
+	l.resign()
+}
+
+// storeAnswers reports whether the store answers a read. A write whose outcome stays unknown
+// would not do: it could take effect while this process still coordinates.
+func (m *Member) storeAnswers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, ResignTimeout)
+	defer cancel()
+	_, _, ok := m.readDocument(ctx)
+	return ok
 }
 
+func (l *leader) hasEnded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended
+}
+
+// resignRetryInterval is the time between attempts to resign while the store does not answer.
+const resignRetryInterval = 200 * time.Millisecond
+
 // resignedPeriod is how long a process that has resigned does not take over; it
 // exceeds the duration of any shutdown.
 const resignedPeriod = 24 * time.Hour
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -349,16 +349,31 @@
 }
 
 // Shutdown stops accepting callers and waits until the requests in progress have
-// ended or ctx ends.
+// ended or ctx ends. Meanwhile the host hands the coordination over if it coordinates.
 func (e *Edge) Shutdown(ctx context.Context) error {
 	started := time.Now()
 	e.draining.Store(true)
 	e.log.Info("edge: Stopping.", "active", e.activeRequests.Load())
-	e.member.Resign()
+	resigned := make(chan struct{})
+	go func() {
+		defer close(resigned)
+		e.resign(ctx)
+	}()
 	err := e.entryServer.drain(ctx, e)
+	<-resigned
 	e.log.Info("edge: Stopped.", "active", e.activeRequests.Load(), "took", time.Since(started))
 	e.pool.Release()
 	return err
 }
 
+// resign hands the coordination over before the deadline of ctx.
+func (e *Edge) resign(ctx context.Context) {
+	if end, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, end.Add(-coordination.ResignTimeout))
+		defer cancel()
+	}
+	e.member.Resign(ctx)
+}
+
 var _ http.Handler = (*Edge)(nil)
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -100,7 +100,7 @@
 	{"ed-badentry", "edge/watch.go", "if o.Deleted || err != nil {", "if o.Deleted {", "./edge"},
 	{"ed-malformed", "edge/watch.go", `e.log.Error("configuration: Malformed; keeping the one in force.", "version", uint64(o.Version), "error", err.Error())
 		return false`, "c = &platform.Configuration{}", "./edge"},
-	{"ed-resign", "edge/edge.go", `	e.member.Resign()
+	{"ed-resign", "edge/edge.go", `	e.member.Resign(ctx)
 `, "", "./edge"},
 	{"ed-newsCrash", "edge/crash.go", `	e.member.ReportNow()
 `, "", "./edge"},
@@ -285,6 +285,10 @@
 			result = ownership.OrderNotSent
 		}`, "", "./coordination"},
 	{"co-batch-lease", "coordination/orders.go", "if result != ownership.OrderNotSent && l.leaseOutlastsOrder() {", "if result != ownership.OrderNotSent {", "./coordination"},
+	{"co-resign-store", "coordination/document.go", "!l.hasEnded() && !m.storeAnswers(ctx)", "!l.hasEnded() && false", "./coordination"},
+	{"co-handover", "coordination/leader.go", "if l.shouldHandOver(t) {", "if false {", "./coordination"},
+	{"fe-unconfirmed", "feed/feed.go", "if from >= k.version || k.unconfirmed {", "if from >= k.version {", "./feed"},
+	{"fe-confirm", "feed/feed.go", "k.unconfirmed && version <= k.version", "k.unconfirmed && version >= 0", "./feed"},
 	{"co-order-age", "coordination/orders.go", "LeaseTime-platform.UnackedTimeout", "LeaseTime", "./coordination"},
 	{"pl-linger", "platform/dial.go", "Linger{Onoff: 1, Linger: 0}", "Linger{}", "./platform"},
 	{"co-away", "coordination/reports.go", "if h := l.hosts[name]; name != l.process && h.watching && !h.storeUnreachable {", "if h := l.hosts[name]; h == nil {", "./coordination"},
