--- a/edge/faults_test.go
+++ b/edge/faults_test.go
@@ -223,6 +223,33 @@
 	c.Check(h.do(long).err, qt.IsNotNil)
 }
 
+// A request that runs at a target whose entry lapses is neither given up nor run again: the
+// target may only be slow to report.
+func TestRunningRequestsSurviveALapsedEntry(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(t, 1)
+			a, b := h.server(standin.ServerOptions{Name: "a", Service: "stock"}), h.server(standin.ServerOptions{Name: "b", Service: "stock"})
+			h.configure([]platform.Route{
+				route("stock", "/holders/", platform.Idempotent, func(r *platform.Route) { r.Timeout = time.Minute }),
+			}, plain("stock"))
+			h.waitServing(0, "/holders/1")
+			responses, before := make(chan response, 1), len(a.Runs())+len(b.Runs())
+			go func() {
+				responses <- h.do(call{path: "/holders/1", method: method, body: "x", headers: map[string]string{standin.ServiceTimeHeader: "1s"}})
+			}()
+			h.eventually("the request runs", func() bool { return len(a.Runs())+len(b.Runs()) > before })
+			for _, name := range []string{"a", "b"} {
+				c.Assert(h.store.Delete(context.Background(), platform.KindTargets, name, platform.Unconditional()), qt.IsNil)
+			}
+			got := <-responses
+			c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
+			c.Check(requestRuns(got.id, a, b), qt.HasLen, 1)
+		})
+	}
+}
+
 // A target that sends a body without end is cut off at the route's timeout, and the
 // caller's response does not look complete. The body is not held in memory.
 func TestEndlessBodyIsCutAtTheTimeout(t *testing.T) {
