Back off from targets that are not the owner

Change: the pause of a target that is not the owner doubles from 40 ms up to 640 ms, until it answers a request completely.

--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -284,3 +284,44 @@
 		})
 	}
 }
+
+// TestWrongOwnersGetFewRequests replays the reuse of an owner's address by another service: for
+// three seconds until the coordinator moves the keys, the target at the address answers that it
+// is not the owner. On hunt-8140-27 of grbc-gateway, 356 such arrivals in ten seconds exceeded the
+// other service's retry budget. A key that has just moved costs one short pause only.
+func TestWrongOwnersGetFewRequests(t *testing.T) {
+	const requestsPerSecond, seconds = 20, 3
+	tests := []struct {
+		name     string
+		answered func(n int) bool // whether the target answers its n-th request
+		min, max int              // bounds of the number of requests that it gets
+	}{
+		{"address reused", func(int) bool { return false }, 1, 12},
+		{"one key moved", func(n int) bool { return n != 10 }, requestsPerSecond*seconds - 3, requestsPerSecond * seconds},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sched := newScheduler(keyOwners{1: "t0"})
+			sched.SetTargets(start, targets(1))
+			now, sent := start, 0
+			for range requestsPerSecond * seconds {
+				now = now.Add(time.Second / requestsPerSecond)
+				r := newRequest(now, 1, 400*ms, time.Second)
+				r.Key, r.Keyed = 1, true
+				sched.Expire(now)
+				if _, ok := sched.Add(now, r); !ok {
+					continue
+				}
+				for d, ok := sched.Next(now); ok; d, ok = sched.Next(now) {
+					sent++
+					result := Result{Outcome: WrongOwner}
+					if test.answered(sent) {
+						result = Result{Outcome: Answered, ResponseTime: 10 * ms}
+					}
+					sched.Finish(now, d.Request, result)
+				}
+			}
+			qt.Check(t, sent >= test.min && sent <= test.max, qt.IsTrue, qt.Commentf("%d requests", sent))
+		})
+	}
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -81,6 +81,7 @@
 	pausedUntil           time.Time   // end of the backoff; it gets no requests before
 	consecutiveFailures   int         // since the last complete response
 	consecutiveRejections int         // since the last complete response
+	consecutiveWrongOwner int         // since the last complete response
 	relativeTime          average     // response times as multiples of the route's mean
 	relativeBaseline      float64     // response time without queueing, as a multiple of the route's baseline
 	concurrencyLimit      float64     // keyed requests that this host may have running there
@@ -158,10 +159,10 @@
 	case Answered:
 		s.recordResponseTime(now, t, r, result.ResponseTime)
 		t.errorRate.add(0)
-		t.consecutiveFailures, t.consecutiveRejections = 0, 0
+		t.resetConsecutive()
 	case Failed:
 		t.errorRate.add(1)
-		t.consecutiveFailures, t.consecutiveRejections = 0, 0
+		t.resetConsecutive()
 	case Rejected:
 		t.concurrencyLimit = max(1, t.concurrencyLimit/2)
 		t.pause(now, min(maxRejectionPause, minRejectionPause<<min(t.consecutiveRejections, 4)))
@@ -171,10 +172,20 @@
 		t.errorRate.add(1)
 		t.pause(now, min(maxFailurePause, minFailurePause<<min(t.consecutiveFailures, 3)))
 		t.consecutiveFailures++
-	case WrongOwner, Cancelled:
+	case WrongOwner:
+		// Once may be a key that has just moved. Repeatedly, another target has the address, to which each
+		// attempt is an additional arrival that counts towards the retry budget of its own service.
+		t.pause(now, min(maxRejectionPause, minRejectionPause<<min(t.consecutiveWrongOwner, 4)))
+		t.consecutiveWrongOwner++
+	case Cancelled:
 	}
 }
 
+// resetConsecutive ends the series of failed attempts after a complete response.
+func (t *target) resetConsecutive() {
+	t.consecutiveFailures, t.consecutiveRejections, t.consecutiveWrongOwner = 0, 0, 0
+}
+
 // pause stops requests to the target for at least d. It never shortens a pause.
 func (t *target) pause(now time.Time, d time.Duration) {
 	if until := now.Add(d); until.After(t.pausedUntil) {
