--- a/feed/feed.go
+++ b/feed/feed.go
@@ -92,12 +92,12 @@
 
 // Preload sets the objects of an empty kind to a list that may lack the changes of the
 // last seconds, and is complete up to version at least. It does nothing if the copy has
-// objects of the kind.
+// objects of the kind or version is 0.
 func (f *Feed) Preload(kindName string, objects []platform.Object, version platform.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.kind(kindName)
-	if k.version > 0 {
+	if k.version > 0 || version == 0 {
 		return
 	}
 	for _, o := range objects {
