--- a/coordination/coordination_test.go
+++ b/coordination/coordination_test.go
@@ -257,7 +257,7 @@
 		_ = p.Stop(ctx)
 	})
 	small := func(o *Options) { o.TakeoverDelay = 50 * time.Millisecond }
-	hosts := []*testHost{startHost(t, "small-0", p.Address(), small)}
+	hosts := append(make([]*testHost, 0, 3), startHost(t, "small-0", p.Address(), small))
 	waitFor(t, "the small host coordinates", hosts[0].Leading)
 	hosts = append(hosts, startHost(t, "small-1", p.Address(), small), startHost(t, "large", p.Address()))
 	waitFor(t, "the large host coordinates alone", func() bool { return len(leaders(hosts)) == 1 && hosts[2].Leading() })
@@ -287,7 +287,7 @@
 		defer cancel()
 		_ = p.Stop(ctx)
 	})
-	hosts := []*testHost{startHost(t, "large-0", p.Address())}
+	hosts := append(make([]*testHost, 0, followers+2), startHost(t, "large-0", p.Address()))
 	waitFor(t, "the first host coordinates", hosts[0].Leading)
 	hosts = append(hosts, startHost(t, "large-1", p.Address()))
 	for i := range followers {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -268,7 +268,7 @@
 	}
 }
 
-// A starting host makes two full-price calls to the store, and only a few hosts
+// A starting host makes two full-price calls to the store at most, and only a few hosts
 // continue to watch.
 func TestStartupStoreCalls(t *testing.T) {
 	c := qt.New(t)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -185,7 +185,7 @@
 func TestPreloadedCopiesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store, leader := map[string]platform.Object{}, New()
-		snapshots := [][]platform.Object{{}}
+		snapshots := make([][]platform.Object, 1, 41) // by version; empty at version 0
 		starting := New()
 		var applied []platform.Object // what starting returned as changes
 		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -261,8 +261,9 @@
 			c.Check(f.Confirm(other.ConfirmedVersions()), qt.HasLen, 0)
 			other.Replace(kindName, test.other, 20)
 			c.Check(f.Confirm(other.ConfirmedVersions()), qt.HasLen, 0, qt.Commentf("the other copy is newer"))
-			var got []string
-			for _, o := range append(f.Merge(other.ChangesSince(f.Versions())), f.Confirm(other.ConfirmedVersions())...) {
+			changes := append(f.Merge(other.ChangesSince(f.Versions())), f.Confirm(other.ConfirmedVersions())...)
+			got := make([]string, 0, len(changes))
+			for _, o := range changes {
 				got = append(got, fmt.Sprintf("%s%d", o.Name, o.Version))
 			}
 			c.Check(strings.Join(got, " "), qt.Equals, test.want)
--- a/lab/days/day.go
+++ b/lab/days/day.go
@@ -1,11 +1,11 @@
 package days
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -100,20 +100,21 @@
 
 // Write writes the day in the format of the bench's day files.
 func (d Day) Write(w io.Writer) error {
-	out := bufio.NewWriter(w)
-	fmt.Fprintf(out, "[[day]]\nname = %q\n", d.Name)
-	writeEvents(out, "plan", d.Planned)
-	writeEvents(out, "faults", d.Faults)
-	return out.Flush()
+	var text strings.Builder
+	text.WriteString("[[day]]\nname = " + strconv.Quote(d.Name) + "\n")
+	writeEvents(&text, "plan", d.Planned)
+	writeEvents(&text, "faults", d.Faults)
+	_, err := io.WriteString(w, text.String())
+	return err
 }
 
-// writeEvents writes a list of events; a bufio.Writer keeps its first error for Flush.
-func writeEvents(out *bufio.Writer, name string, events []Event) {
-	fmt.Fprintf(out, "%s = [\n", name)
+// writeEvents writes a list of events.
+func writeEvents(text *strings.Builder, name string, events []Event) {
+	text.WriteString(name + " = [\n")
 	for _, e := range events {
-		fmt.Fprintf(out, "  %s,\n", e)
+		text.WriteString("  " + e.String() + ",\n")
 	}
-	fmt.Fprint(out, "]\n")
+	text.WriteString("]\n")
 }
 
 // String returns the event as an inline table of a day file.
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	testHold    = 3 * time.Second
-	testLease   = 10 * time.Second
-	testTick    = 20 * time.Millisecond
+	testHold  = 3 * time.Second
+	testLease = 10 * time.Second
+	testTick  = 20 * time.Millisecond
 	// abandonedOrderAge is the age up to which deliversAbandoned delivers orders; a kernel retransmits for many seconds.
 	abandonedOrderAge = 13 * time.Second
-	testService = "stockroom"
+	testService       = "stockroom"
 )
 
 // simulation runs several coordinating processes against a simulated store and
