--- a/coordination/follower.go
+++ b/coordination/follower.go
@@ -90,7 +90,7 @@
 	f.failures, f.replied = 0, true
 	f.member.recordReply()
 	f.member.applyReply(f.document, reply)
-	if !f.member.loaded() && now().Sub(f.member.startedAt) > confirmListsTimeout {
+	if !f.member.loaded() && now().Sub(f.member.startedAt) > confirmListsTimeout+overdueDelays*f.member.options.TakeoverDelay {
 		f.member.setWatching(true, "coordinator does not confirm the initial lists")
 	} else {
 		f.member.setWatching(reply.WatchStore, "set by the coordinator")
@@ -283,9 +283,16 @@
 func (m *Member) replyOverdue() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return now().Sub(m.lastReply) >= replyOverdueAfter+2*m.options.TakeoverDelay
+	last := m.lastReply
+	if last.IsZero() && m.options.TakeoverDelay > 0 {
+		last = m.startedAt
+	}
+	return now().Sub(last) >= replyOverdueAfter+overdueDelays*m.options.TakeoverDelay
 }
 
+// overdueDelays is how many takeover delays a low-priority candidate waits longer for a coordinator.
+const overdueDelays = 2
+
 // assumeHosts sets the number of hosts from a document until a coordinator
 // replies. A host that assumed to be the only one would send as many requests to
 // the targets as all hosts together.
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -42,10 +42,12 @@
 }
 
 // watchWhenAssigned watches the objects of one kind while this host has to watch
-// the store, after it has preloaded them. pause is the time between two watches.
+// the store. A host that is not small preloads them first. pause is the time between two watches.
 // Changes within a pause cost only one call.
 func (e *Edge) watchWhenAssigned(ctx context.Context, kind string, pause time.Duration) {
-	e.preload(ctx, kind)
+	if takeoverDelay(e.settings.CPUShare) == 0 { // small hosts get the objects from the coordinator
+		e.preload(ctx, kind)
+	}
 	for ctx.Err() == nil {
 		watching, stop := e.member.WaitToWatch(ctx)
 		e.watchKind(watching, kind, pause)
