--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -253,7 +253,7 @@
 
 // awaitPreload waits until this host has preloaded the configuration and the targets,
 // for at most initialListTimeout. Without them the host watches the store. Low-priority
-// candidates preload nothing: they get both from the coordinator, compressed to a twelfth. The lists
+// candidates preload nothing: they get both from the coordinator, compressed. The lists
 // of 295 hosts would fill the store's link for a second after the loss of all of them.
 func (m *Member) awaitPreload(ctx context.Context) {
 	if m.options.TakeoverDelay > 0 {
--- a/coordination/coordination_test.go
+++ b/coordination/coordination_test.go
@@ -231,7 +231,7 @@
 			defer cancel()
 			resigned := make(chan struct{})
 			go func() { h.Resign(ctx); close(resigned) }()
-			time.Sleep(3 * resignRetryInterval)
+			time.Sleep(3 * resignRetryInterval) // several attempts, in which a host that resigned would have ended
 			c.Check(h.Leading(), qt.IsTrue)
 			if test.recover {
 				p.SetFaults(standin.PlatformFaults{})
--- a/coordination/shared.go
+++ b/coordination/shared.go
@@ -49,7 +49,7 @@
 	return json.NewDecoder(io.LimitReader(r, maxSharedBytes)).Decode(value)
 }
 
-// maxSharedBytes is far above the size of the largest part: 800 targets take 240 kB.
+// maxSharedBytes is far above the size of the largest part, in bytes.
 const maxSharedBytes = 64 << 20
 
 // replyCache holds the parts of replies for the versions that hosts have. It is emptied
@@ -92,8 +92,8 @@
 }
 
 // marshal returns the reply as JSON, with the shared parts inserted as they were encoded
-// before. A view of 300 targets takes 46 kB; sent to 295 hosts uncompressed, it would keep the
-// link of a coordinator busy for half a second.
+// before. A view of 800 ranges takes 46 kB; sent to 295 hosts uncompressed, it would keep the
+// link of a coordinator of 200 Mbit/s busy for half a second.
 func (r *Reply) marshal() ([]byte, error) {
 	own := *r
 	if r.sharedView != nil {
