Log and count the rate limits that targets state

Callers and operators could not see that a target had asked for fewer requests: no log line or metric mentioned it. Each host now decodes Server-Limit in platform, keeps the latest limit of each target, logs each change with the request that brought it, and counts the requests sent to such targets. Nothing acts on it yet.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -32,6 +32,9 @@
 	sent := time.Now()
 	response, err := d.client.Do(ctx, q.targetRequest(d.dispatch.Target.Name))
 	result := scheduler.Result{Outcome: classifyOutcome(response, err), ResponseTime: time.Since(sent)}
+	if err == nil {
+		q.recordRateLimit(d, response)
+	}
 	q.service.release(q.scheduled, result)
 	if result.Outcome == scheduler.TimedOut {
 		d.client.CloseIdle()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -38,6 +38,7 @@
 	"github.com/redwingtally/redwingtally/ownership"
 	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/quarantine"
+	"github.com/redwingtally/redwingtally/ratelimit"
 	"github.com/redwingtally/redwingtally/routing"
 	"github.com/redwingtally/redwingtally/settings"
 )
@@ -78,6 +79,7 @@
 	activeRequests  atomic.Int64 // callers' requests in progress
 	entryServer     *entryServer
 	feed            *feed.Feed
+	rateLimits      *ratelimit.Table
 	initialised     chan struct{} // closed once the configuration and the targets have been received
 	initialisedOnce sync.Once     // guards the closing of initialised
 
@@ -109,6 +111,7 @@
 		targets:      directory.New(s.Drain),
 		crashTable:   quarantine.New(),
 		feed:         feed.New(),
+		rateLimits:   ratelimit.NewTable(),
 		initialised:  make(chan struct{}),
 	}
 	e.store.Store(platform.NewClient(s.StoreAddress))
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -49,6 +49,8 @@
 	// SilentConnections counts late responses of targets that answered a probe on a
 	// new connection.
 	SilentConnections *prometheus.CounterVec
+	// LimitedAttempts counts requests sent to targets that state a rate limit.
+	LimitedAttempts *prometheus.CounterVec
 
 	registry *prometheus.Registry
 }
@@ -73,10 +75,12 @@
 		TargetConnections: counter("target_connections_total", "Connections opened to targets.", "service"),
 		Quarantined:       counter("set_asides_total", "Requests that were set aside.", "service"),
 		SilentConnections: counter("silent_connections_total", "Connections that were found silent.", "service"),
+		LimitedAttempts:   counter("limited_attempts_total", "Requests sent to targets that state a rate limit.", "service"),
 	}
 	s.registry.MustRegister(
 		s.Requests, s.QueueSeconds, s.ServiceSeconds, s.Retries, s.QueuedRequests, s.ShardImbalance, s.OwnershipChanges,
 		s.UnownedShards, s.UnownedSeconds, s.StoreCalls, s.ControlBytes, s.ControlHeartbeats, s.TargetConnections, s.Quarantined, s.SilentConnections,
+		s.LimitedAttempts,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return s
