--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -79,6 +79,7 @@
 	latestGrants []heldGrant // grant with the highest token seen for each key, kept after its release
 	runningByKey map[platform.KeyRange]int
 	runs         []Run
+	arrivals     []time.Time // of all requests of callers, rejected ones included
 	draining     bool
 	faults       ServerFaults
 }
@@ -94,6 +95,9 @@
 	// ServiceTimeFactor is the factor by which service times are multiplied; values
 	// below 1 have no effect.
 	ServiceTimeFactor float64 `json:"slow"`
+	// RateLimit is the number of requests per second that the server states in its
+	// responses as its limit; 0 states none.
+	RateLimit float64 `json:"rate_limit"`
 }
 
 // StartServer starts a server on address. The server registers itself in the store
@@ -210,6 +214,14 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// Arrivals returns the times at which callers' requests arrived, rejected ones
+// included, in order.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.arrivals...)
+}
+
 func (s *Server) getRuns(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(s.Runs()) // fails only if the caller has disconnected
 }
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -54,6 +54,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	s.mu.Unlock()
 	body, err := io.ReadAll(r.Body)
 	bodyComplete := err == nil
 	if !s.admit(r.Context()) {
@@ -76,7 +79,7 @@
 }
 
 func (s *Server) reject(w http.ResponseWriter, id string, status int) {
-	platform.SetResponseMeta(w.Header(), s.options.Name, platform.ResponseMeta{ID: id, NotExecuted: true})
+	platform.SetResponseMeta(w.Header(), s.options.Name, platform.ResponseMeta{ID: id, NotExecuted: true, RateLimit: s.rateLimit()})
 	w.WriteHeader(status)
 }
 
@@ -133,6 +136,12 @@
 	return s.faults
 }
 
+// rateLimit returns the limit that the server states.
+func (s *Server) rateLimit() platform.RateLimit {
+	perSecond := s.currentFaults().RateLimit
+	return platform.RateLimit{PerSecond: perSecond, Stated: perSecond > 0}
+}
+
 // respond writes the response, or injects a fault. Faults are assigned by the index
 // of the run modulo 20, so that their shares have a resolution of 5%.
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, id string, received, index int) {
@@ -141,7 +150,7 @@
 		<-r.Context().Done()
 		return
 	}
-	platform.SetResponseMeta(w.Header(), s.options.Name, platform.ResponseMeta{ID: id, Signed: true})
+	platform.SetResponseMeta(w.Header(), s.options.Name, platform.ResponseMeta{ID: id, Signed: true, RateLimit: s.rateLimit()})
 	if position < f.UnansweredShare+f.ErrorShare {
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
