Send to targets within the rate limit that they state

Cause: no host read the limit (a statement of a peer that binds all hosts was treated as private to one exchange, and not even kept there). Had each host applied it alone, the sum would still have exceeded it.

Ruled out: repeats (0 to 4 of a target's requests in 16 s), the restart of a host at 13 s.

Change: hosts exchange limits through their reports to the coordinator and its replies, the latest response decides. A host sends to a limited target only with a permit; the coordinator gives out as many a second as the target accepts, hosts return unused ones, and without a coordinator each uses its equal share. Requests that no permit can reach in time are rejected at once (rate_limited) and keys move off limited targets.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -37,6 +37,7 @@
 	"github.com/redwingtally/redwingtally/feed"
 	"github.com/redwingtally/redwingtally/ownership"
 	"github.com/redwingtally/redwingtally/platform"
+	"github.com/redwingtally/redwingtally/ratelimit"
 )
 
 // Errors of coordination.
@@ -71,6 +72,10 @@
 	// to it.
 	Feed           *feed.Feed
 	ObjectsChanged func([]platform.Object)
+	// RateLimits holds the rate limits that targets state. RateLimitsChanged is called with the changes that other hosts
+	// reported.
+	RateLimits        *ratelimit.Table
+	RateLimitsChanged func([]ratelimit.Limit)
 	// StoreUnreachable reports whether this host's own calls to the store fail. SetStoreUnavailable receives whether
 	// no host that watches the store reaches it.
 	StoreUnreachable    func() bool
@@ -115,7 +120,9 @@
 	yieldTerm           uint64        // highest term that asked this process to end earlier terms
 	candidateFrom       time.Time     // this process does not take over before then
 	coordinatorClient   *client       // client of the coordinator that this host follows
-	lastReply           time.Time     // when a coordinator last replied
+	permitClient        *permitClient // the same for permits
+	limitsExchanged     limitsExchange
+	lastReply           time.Time // when a coordinator last replied
 }
 
 // A State is the content of the coordinator's latest reply. Until a coordinator
--- a/coordination/coordination_test.go
+++ b/coordination/coordination_test.go
@@ -18,6 +18,7 @@
 	"github.com/redwingtally/redwingtally/ownership"
 	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/quarantine"
+	"github.com/redwingtally/redwingtally/ratelimit"
 )
 
 const waitTimeout = 20 * time.Second
@@ -29,6 +30,8 @@
 	server  *http.Server
 	feed    *feed.Feed
 	crashes chan quarantine.Crash // added to the next reports
+	// storeAddress is the address of the store that the host uses.
+	storeAddress netip.AddrPort
 }
 
 // startHost starts a host that uses the given store and reports a load of two
@@ -37,7 +40,7 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	client := platform.NewClient(store)
-	h := &testHost{feed: feed.New(), crashes: make(chan quarantine.Crash, 10)}
+	h := &testHost{feed: feed.New(), crashes: make(chan quarantine.Crash, 10), storeAddress: store}
 	options := Options{
 		Host: name, Process: name + "/1", Address: netip.MustParseAddrPort(ln.Addr().String()),
 		Store: func() *platform.Client { return client }, TargetClient: platform.NewTargetClient(), Log: slog.New(slog.DiscardHandler),
@@ -53,6 +56,7 @@
 		},
 		Targets: func() Targets { return Targets{} }, StateUpdated: func() {}, Random: func() float64 { return 0.5 },
 		Feed: h.feed, ObjectsChanged: func([]platform.Object) {},
+		RateLimits: ratelimit.NewTable(), RateLimitsChanged: func([]ratelimit.Limit) {},
 		StoreUnreachable: func() bool { return false }, SetStoreUnavailable: func(bool) {},
 	}
 	for _, f := range change {
@@ -62,6 +66,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(h.Handler())
 	mux.Handle(h.YieldHandler())
+	mux.Handle(h.PermitsHandler())
 	h.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = h.server.Serve(ln) }() // returns when stop closes the server
 	ctx, cancel := context.WithCancel(context.Background())
@@ -409,7 +414,7 @@
 		{"no other watcher", true, hostReport{}, true},
 	}
 	for _, test := range tests {
-		l := &leader{process: "c", hosts: map[string]*hostReport{"a": &test.other, "c": {}}, member: &Member{options: Options{StoreUnreachable: func() bool { return test.own }}}}
+		l := &leader{process: "c", hosts: map[string]*hostReport{"a": &test.other, "c": {}}, member: &Member{options: Options{StoreUnreachable: func() bool { return test.own }, RateLimits: ratelimit.NewTable()}}}
 		qt.Check(t, l.storeUnavailable([]string{"a", "c"}), qt.Equals, test.want, qt.Commentf(test.name))
 	}
 }
--- a/coordination/follower.go
+++ b/coordination/follower.go
@@ -60,8 +60,8 @@
 	}
 	f.log.Info("coordination: Following.")
 	m.assumeHosts(d)
-	m.setCoordinatorClient(f.client)
-	defer m.setCoordinatorClient(nil)
+	m.setCoordinatorClients(f.client, m.newPermitClient(d.Address))
+	defer m.setCoordinatorClients(nil, nil)
 	for done := false; !done && ctx.Err() == nil; {
 		reply, err := f.report(ctx)
 		if err != nil {
@@ -213,11 +213,13 @@
 	return m.lead(ctx, d, version)
 }
 
-func (m *Member) setCoordinatorClient(c *client) {
+// setCoordinatorClients sets the clients of the coordinator that this host follows, or nil if it follows none.
+func (m *Member) setCoordinatorClients(c *client, p *permitClient) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.coordinatorClient = c
+	m.coordinatorClient, m.permitClient = c, p
 	m.coordinatorVersions = nil
+	m.limitsExchanged = limitsExchange{}
 }
 
 // sendReport sends a report that waits at most wait for a change. The call times
@@ -226,10 +228,12 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+margin)
 	defer cancel()
 	r := m.ownReport(wait)
+	sent := m.addRateLimits(&r)
 	reply, err := c.CallUnary(ctx, connect.NewRequest(&r))
 	if err != nil {
 		return nil, err
 	}
+	m.receiveRateLimits(reply.Msg, sent)
 	return reply.Msg, nil
 }
 
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -12,6 +12,7 @@
 	"github.com/redwingtally/redwingtally/ownership"
 	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/quarantine"
+	"github.com/redwingtally/redwingtally/ratelimit"
 )
 
 const (
@@ -61,9 +62,12 @@
 	rejectedCount    uint64 // grows with every refused fingerprint
 	views            views
 	replies          replyCache
-	publishedAt      time.Time     // when the last view was published
-	publishScheduled bool          // whether a timer will publish the next view
-	changed          chan struct{} // closed and replaced when waiting reports must check for changes
+	permits          *ratelimit.Allocator
+	limitsVersion    uint64         // of the rate limits last passed to core
+	limitedTargets   TargetsVersion // of the targets whose limits were passed
+	publishedAt      time.Time      // when the last view was published
+	publishScheduled bool           // whether a timer will publish the next view
+	changed          chan struct{}  // closed and replaced when waiting reports must check for changes
 }
 
 // hostReport is the latest report of one host.
@@ -94,7 +98,7 @@
 	l := &leader{
 		member: m, process: m.options.Process, wake: make(chan struct{}, 1),
 		core: ownership.New(ownership.Options{HoldTime: HoldTime, LeaseTime: LeaseTime}), version: obj.Version, confirmedAt: sent,
-		hosts: map[string]*hostReport{}, crashes: quarantine.New(), changed: make(chan struct{}),
+		hosts: map[string]*hostReport{}, crashes: quarantine.New(), changed: make(chan struct{}), permits: ratelimit.NewAllocator(),
 		expectedHosts: d.HostCount, startedAt: now(),
 	}
 	m.assumeHosts(d)
@@ -234,6 +238,7 @@
 		}
 		l.core.UpdateLiveness(targets.All)
 	}
+	l.updateRateLimits(targets)
 	if l.core.Isolated(t) {
 		l.member.options.Log.Warn("coordination: Most targets do not answer. Resigning.")
 		l.member.suspendCandidacy(isolationBackoff)
--- a/coordination/message.go
+++ b/coordination/message.go
@@ -9,6 +9,7 @@
 	"github.com/redwingtally/redwingtally/feed"
 	"github.com/redwingtally/redwingtally/ownership"
 	"github.com/redwingtally/redwingtally/quarantine"
+	"github.com/redwingtally/redwingtally/ratelimit"
 )
 
 // syncProcedure is the path of the call by which hosts report to the coordinator.
@@ -36,6 +37,10 @@
 	Unconfirmed bool `json:"unconfirmed,omitempty"`
 	// Feed holds the changes that the sender received from the store and the coordinator may lack.
 	Feed feed.Delta `json:"feed,omitempty"`
+	// RateLimits are the limits that changed since the coordinator last received them. KnownRateLimits is the version up to
+	// which the sender has the coordinator's.
+	RateLimits      []ratelimit.Limit `json:"rate_limits,omitempty"`
+	KnownRateLimits RateLimitsVersion `json:"known_rate_limits"`
 	// Watching reports whether the sender watches the store.
 	Watching bool `json:"watching,omitempty"`
 	// StoreUnreachable reports whether the sender watches the store but cannot reach it.
@@ -60,6 +65,12 @@
 	return v.Term > o.Term || v.Term == o.Term && v.Number > o.Number
 }
 
+// A RateLimitsVersion is a version of the rate limits of one process.
+type RateLimitsVersion struct {
+	Process string `json:"process,omitempty"`
+	Number  uint64 `json:"number,omitempty"`
+}
+
 // A View is what the coordinator publishes to all hosts.
 type View struct {
 	Version Version `json:"version"`
@@ -85,6 +96,10 @@
 	// the coordinator's copy is complete. Kinds that the coordinator has not listed itself are left out.
 	Feed         feed.Delta    `json:"feed,omitempty"`
 	FeedVersions feed.Versions `json:"have"`
+	// RateLimits are the limits that changed since the version that the sender knows, and RateLimitsVersion the version up
+	// to which they are complete.
+	RateLimits        []ratelimit.Limit `json:"rate_limits,omitempty"`
+	RateLimitsVersion RateLimitsVersion `json:"rate_limits_version"`
 	// WatchStore reports whether the sender has to watch the store itself.
 	WatchStore bool `json:"watch,omitempty"`
 	// StoreUnavailable reports whether no host that watches the store reaches it.
--- a/coordination/orders_test.go
+++ b/coordination/orders_test.go
@@ -17,6 +17,7 @@
 	"github.com/redwingtally/redwingtally/ownership"
 	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/quarantine"
+	"github.com/redwingtally/redwingtally/ratelimit"
 )
 
 // startCountingServer starts a server that counts its calls, and returns its address and the counter.
@@ -33,7 +34,7 @@
 // newTestLeader returns a leader of term 1 with a valid lease, no store and no targets.
 func newTestLeader() *leader {
 	l := &leader{
-		member: &Member{options: Options{Log: slog.New(slog.DiscardHandler), TargetClient: platform.NewTargetClient()}, watchGate: newGate()},
+		member: &Member{options: Options{Log: slog.New(slog.DiscardHandler), TargetClient: platform.NewTargetClient(), RateLimits: ratelimit.NewTable()}, watchGate: newGate()},
 		core:   ownership.New(ownership.Options{HoldTime: HoldTime, LeaseTime: LeaseTime}), confirmedAt: now(),
 		hosts: map[string]*hostReport{}, crashes: quarantine.New(), changed: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -12,6 +12,7 @@
 func (l *leader) ownReportLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		r := l.member.ownReport(l.member.reportWait())
+		r.KnownRateLimits = l.rateLimitsVersion()
 		reply, err := l.sync(ctx, &r)
 		if err != nil {
 			return
@@ -99,12 +100,13 @@
 		l.member.options.ObjectsChanged(changes)
 		l.notify()
 	}
+	l.mergeRateLimits(r.RateLimits)
 	l.mu.Lock()
 	l.applyReport(r)
 	l.publish()
 	end := time.NewTimer(r.Wait)
 	defer end.Stop()
-	for l.views.newest.Version == r.View && !l.ended && !l.hasObjectsFor(r) {
+	for l.views.newest.Version == r.View && !l.ended && !l.hasObjectsFor(r) && r.KnownRateLimits == l.rateLimitsVersion() {
 		changed := l.changed
 		l.mu.Unlock()
 		select {
@@ -198,6 +200,7 @@
 	if delta := l.replies.delta(l.member.options.Feed, reply.FeedVersions, r.FeedVersions); delta != nil {
 		reply.Feed, reply.sharedFeed = delta.value, delta
 	}
+	reply.RateLimits, reply.RateLimitsVersion = l.rateLimitsSince(r.KnownRateLimits)
 	if !r.AcceptsPacked {
 		reply.sharedView, reply.sharedFeed = nil, nil
 	}
--- a/edge/control.go
+++ b/edge/control.go
@@ -23,6 +23,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(e.member.Handler())
 	mux.Handle(e.member.YieldHandler())
+	mux.Handle(e.member.PermitsHandler())
 	if err := e.serveInternal("control", e.settings.ControlAddress, mux); err != nil {
 		return err
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -80,8 +80,10 @@
 	entryServer     *entryServer
 	feed            *feed.Feed
 	rateLimits      *ratelimit.Table
-	initialised     chan struct{} // closed once the configuration and the targets have been received
-	initialisedOnce sync.Once     // guards the closing of initialised
+	permitsWanted   chan struct{}        // a service lacks permits for limited targets
+	ownPermits      *ratelimit.Allocator // used by getPermits while no coordinator gives out permits
+	initialised     chan struct{}        // closed once the configuration and the targets have been received
+	initialisedOnce sync.Once            // guards the closing of initialised
 
 	mu               sync.Mutex
 	services         map[string]*service
@@ -101,18 +103,20 @@
 		return nil, eris.Wrapf(ErrStart, "%v", err)
 	}
 	e := &Edge{
-		settings:     s,
-		log:          log.With("host", s.Host),
-		metrics:      metric.New(),
-		kernel:       kernel.New(log),
-		pool:         pool,
-		processStart: time.Now(),
-		services:     map[string]*service{},
-		targets:      directory.New(s.Drain),
-		crashTable:   quarantine.New(),
-		feed:         feed.New(),
-		rateLimits:   ratelimit.NewTable(),
-		initialised:  make(chan struct{}),
+		settings:      s,
+		log:           log.With("host", s.Host),
+		metrics:       metric.New(),
+		kernel:        kernel.New(log),
+		pool:          pool,
+		processStart:  time.Now(),
+		services:      map[string]*service{},
+		targets:       directory.New(s.Drain),
+		crashTable:    quarantine.New(),
+		feed:          feed.New(),
+		rateLimits:    ratelimit.NewTable(),
+		permitsWanted: make(chan struct{}, 1),
+		ownPermits:    ratelimit.NewAllocator(),
+		initialised:   make(chan struct{}),
 	}
 	e.store.Store(platform.NewClient(s.StoreAddress))
 	e.member = coordination.New(coordination.Options{
@@ -132,6 +136,8 @@
 
 		Feed:                e.feed,
 		ObjectsChanged:      e.applyObjects,
+		RateLimits:          e.rateLimits,
+		RateLimitsChanged:   e.applyRateLimits,
 		StoreUnreachable:    e.ownStoreUnreachable,
 		SetStoreUnavailable: e.setStoreUnavailable,
 	})
@@ -145,6 +151,7 @@
 		{Name: "configuration", Priority: 1, Start: e.background(e.watchConfiguration), Dump: e.dumpConfiguration},
 		{Name: "directory", Priority: 1, Start: e.background(e.watchTargets), Dump: e.dumpTargets},
 		{Name: "coordination", Priority: 2, Start: e.background(e.member.Run), Dump: func() any { return e.member.State() }},
+		{Name: "limits", Priority: 2, Start: e.background(e.getPermits), Dump: e.dumpRateLimits},
 		{Name: "entry", Priority: 3, Start: e.startEntry},
 		{Name: "readiness", Priority: 4, Start: e.startReadiness},
 	}
@@ -252,7 +259,9 @@
 	for _, spec := range table.Configuration.Services {
 		s := e.serviceLocked(spec.Name)
 		if changed {
-			s.setTargets(now, spec, e.targets.ServiceTargets(now, spec.Name), load.hosts)
+			targets := e.targets.ServiceTargets(now, spec.Name)
+			s.setTargets(now, spec, targets, load.hosts)
+			s.setRateLimits(now, e.rateLimits.ByName(targets))
 		}
 		s.setLoad(now, load)
 	}
--- a/edge/service.go
+++ b/edge/service.go
@@ -101,6 +101,7 @@
 	now := time.Now()
 	rejection, ok := add(now, r)
 	if !ok {
+		s.signalWants(now)
 		s.mu.Unlock()
 		return schedulerDecision{rejection: rejection, rejected: true}, true
 	}
@@ -148,6 +149,7 @@
 	if s.scheduler.Queued() > 0 && s.queueTimer == nil {
 		s.queueTimer = time.AfterFunc(queueInterval, s.checkQueue)
 	}
+	s.signalWants(now)
 }
 
 // checkQueue rejects the queued requests that Scheduler.Expire returns and
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -306,6 +306,7 @@
 		now := time.Now()
 		usable := e.targets.UsableCount(now)
 		e.targets.DeleteExpired(now)
+		e.retainRateLimits(now)
 		changed := usable != e.usableTargets
 		e.usableTargets = usable
 		e.mu.Unlock()
--- a/ownership/balance_test.go
+++ b/ownership/balance_test.go
@@ -248,3 +248,25 @@
 	moves := tc.reportLoad(400*time.Millisecond, map[uint16]int{100: 20, 200: 20})
 	c.Check(moves, qt.Not(qt.HasLen), 0)
 }
+
+// TestKeysMoveOffLimitedTargets checks that keys move off a target that accepts fewer requests
+// than come for its keys, although its slots would suffice, and back to it once the limit has ended.
+func TestKeysMoveOffLimitedTargets(t *testing.T) {
+	c := qt.New(t)
+	tc := newTestCoordinator()
+	rates := spreadRates()
+	limited := tc.owner(0)
+	tc.core.SetRateLimits("stock", map[string]float64{limited: 5})
+	moves := tc.reportLoad(4*time.Second, rates)
+	c.Assert(moves, qt.Not(qt.HasLen), 0)
+	left := 0
+	for key, rate := range rates {
+		if tc.owner(key) == limited {
+			left += rate
+		}
+	}
+	c.Check(left <= 10, qt.IsTrue, qt.Commentf("%d requests a second left, 5 accepted", left))
+	tc.core.SetRateLimits("stock", nil)
+	back := tc.reportLoad(4*time.Second, rates)
+	c.Check(slices.ContainsFunc(back, func(m Move) bool { return m.To.Name == limited }), qt.IsTrue, qt.Commentf("moves %+v", back))
+}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -91,6 +91,7 @@
 	load          *load
 	nextLoadCheck time.Time            // when the next check of the load is due
 	joinedAt      map[string]time.Time // when the entry of each target appeared, by name
+	rateLimits    map[string]float64   // requests per second that targets accept, by name
 }
 
 // rangeState is a range of the document with further state that only the
@@ -218,6 +219,12 @@
 	s.targets = append(s.targets[:0], targets...)
 }
 
+// SetRateLimits sets the requests per second that targets of a service accept, by name. Targets
+// that are not in limits have no such limit.
+func (c *Core) SetRateLimits(name string, limits map[string]float64) {
+	c.service(name).rateLimits = limits
+}
+
 // UpdateLiveness updates the liveness of owners and former owners from the listed
 // targets of all services. An incarnation has ended when a target that started
 // later has its name or its address.
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -145,7 +145,7 @@
 	out := make([]*candidate, 0, len(eligible))
 	byIncarnation := make(map[incarnationKey]*candidate, len(eligible))
 	for _, t := range eligible {
-		c := &candidate{incarnation: IncarnationOf(t), slots: float64(max(1, t.Slots)) / s.slowness(t.Name), empty: true}
+		c := &candidate{incarnation: IncarnationOf(t), slots: s.effectiveSlots(t), empty: true}
 		out = append(out, c)
 		byIncarnation[c.incarnation.key()] = c
 	}
@@ -159,6 +159,19 @@
 	return out
 }
 
+// minLimitedSlots bounds the effective slots of a target that accepts hardly any requests.
+const minLimitedSlots = 0.05
+
+// effectiveSlots returns the slots of a target, divided by its slowness. A target that states
+// how many requests per second it accepts has no more than these occupy.
+func (s *service) effectiveSlots(t platform.Target) float64 {
+	slots := float64(max(1, t.Slots)) / s.slowness(t.Name)
+	if perSecond, ok := s.rateLimits[t.Name]; ok {
+		return min(slots, max(minLimitedSlots, perSecond*s.processingTime()))
+	}
+	return slots
+}
+
 // unavailable reports whether a target has ended or has left all orders
 // unanswered for unresponsiveAfter. A target without keys receives no orders that
 // could show its recovery, so it becomes available again targetRetryDelay after
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/redwingtally/redwingtally/ownership"
+	"github.com/redwingtally/redwingtally/platform"
 )
 
 // A Limit is what a target stated about its request rate in one response.
@@ -93,6 +94,22 @@
 	return e.perSecond, true
 }
 
+// ByName returns the limits, in requests per second, of those of the given targets that have one.
+func (t *Table) ByName(targets []platform.Target) map[string]float64 {
+	out := map[string]float64{}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.entries) == 0 {
+		return out
+	}
+	for _, target := range targets {
+		if e, ok := t.entries[ownership.IncarnationOf(target)]; ok && e.stated {
+			out[target.Name] = e.perSecond
+		}
+	}
+	return out
+}
+
 // Version returns a number that grows with every change of a limit.
 func (t *Table) Version() uint64 {
 	t.mu.Lock()
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -19,12 +19,12 @@
 	return false
 }
 
-// runningLimit returns the number of running requests up to which this host sends
-// further requests without a key. It is at least 2.
+// runningLimit returns the number of requests running without a permit up to which this
+// host sends further requests without a key. It is at least 2.
 func (s *Scheduler) runningLimit(now time.Time) int {
 	slots := 0.0
 	for _, t := range s.ordered {
-		if t.usable(now) {
+		if t.usable(now) && !t.limited {
 			slots += t.capacity(now)
 		}
 	}
@@ -37,21 +37,21 @@
 // that are free on average. Processing times vary so much that the adaptive limit alone
 // falls to one at owners that are idle most of the time.
 func (s *Scheduler) keyedLimit(now time.Time, t *target) int {
-	shared := int(math.Round(s.slotShare * (t.capacity(now) + keyedQueueDepth)))
+	shared := int(math.Round(s.slotShare * (s.capacityOf(now, t) + keyedQueueDepth)))
 	return max(int(t.concurrencyLimit), shared, s.freeSlots(now, t))
 }
 
 // freeSlots returns the number of slots of an owner of keys that the load of all hosts
 // leaves free on average. A request that waits here while its owner is idle gains nothing.
 func (s *Scheduler) freeSlots(now time.Time, t *target) int {
-	return int(t.capacity(now) * max(0, 1-s.utilisation(now, t)))
+	return int(s.capacityOf(now, t) * max(0, 1-s.utilisation(now, t)))
 }
 
 // utilisation estimates the load that all hosts offer to an owner of keys, as a
 // multiple of its capacity, from the requests that this host got for it.
 func (s *Scheduler) utilisation(now time.Time, t *target) float64 {
 	work := s.MeanProcessingTime().Seconds() * max(minSlowness, t.relativeBaseline)
-	return t.offered.perSecond(now) / max(s.slotShare, minSlotShare) * work / t.capacity(now)
+	return t.offered.perSecond(now) / max(s.slotShare, minSlotShare) * work / s.capacityOf(now, t)
 }
 
 // Next removes the first request from the queue that can be sent now, and returns
@@ -60,14 +60,14 @@
 	if len(s.queue) == 0 {
 		return Dispatch{}, false
 	}
-	hasCapacity := s.running < s.runningLimit(now)
+	hasCapacity := s.running-s.runningPermitted < s.runningLimit(now)
 	for i, r := range s.queue {
 		var t *target
 		switch {
 		case r.Keyed:
 			t = s.availableOwner(now, r)
-		case hasCapacity:
-			t = s.cheapestTarget(now, r)
+		case hasCapacity || s.limitedTargets > 0:
+			t = s.cheapestTarget(now, r, hasCapacity)
 		}
 		if t == nil {
 			continue
@@ -87,6 +87,10 @@
 	}
 	r.target = t
 	r.tried = append(r.tried, t.Name)
+	r.permitted = t.limited
+	if r.permitted {
+		s.runningPermitted++
+	}
 	t.start(now)
 	s.running++
 }
@@ -109,19 +113,25 @@
 	if t == nil || !t.available(now) || t.running >= s.keyedLimit(now, t) {
 		return nil
 	}
+	if !t.permitted(now) {
+		t.want(now)
+		return nil
+	}
 	return t
 }
 
 // cheapestTarget returns the available target with the lowest cost for r, or nil.
 // A target with a pending probe comes first; targets that r was already sent to
-// come last. Targets of equal cost are chosen in rotation.
-func (s *Scheduler) cheapestTarget(now time.Time, r *Request) *target {
-	var best *target
-	minCost := math.Inf(1)
+// come last. Targets of equal cost are chosen in rotation. A limited target that would
+// be chosen with a permit is marked as wanting one. Without free capacity only limited
+// targets are available, as their permits bound the requests there.
+func (s *Scheduler) cheapestTarget(now time.Time, r *Request, hasCapacity bool) *target {
+	var best, limited *target
+	minCost, minLimitedCost := math.Inf(1), math.Inf(1)
 	s.rotation++
 	for i := range s.ordered {
 		t := s.ordered[(i+s.rotation)%len(s.ordered)]
-		if !t.available(now) {
+		if !t.available(now) || !t.limited && !hasCapacity {
 			continue
 		}
 		cost := t.cost(now) + s.accessCost(t, r)
@@ -131,10 +141,18 @@
 		case t.probePending:
 			cost = 0
 		}
-		if cost < minCost {
+		switch {
+		case !t.permitted(now):
+			if !t.wanted && cost < minLimitedCost {
+				limited, minLimitedCost = t, cost
+			}
+		case cost < minCost:
 			best, minCost = t, cost
 		}
 	}
+	if limited != nil && minLimitedCost < minCost {
+		limited.want(now)
+	}
 	return best
 }
 
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -98,6 +98,9 @@
 	if r.Keyed {
 		return s.estimateKeyedWait(now, r, ahead)
 	}
+	if wait, ok := s.estimatePermitWait(now, r, ahead); ok {
+		return wait
+	}
 	var work time.Duration
 	for _, q := range s.queue[:ahead] {
 		work += s.expectedResponseTime(q)
@@ -118,11 +121,16 @@
 		return 0
 	}
 	var work time.Duration
+	same := 0
 	for _, q := range s.queue[:ahead] {
 		if name, _ := s.options.Owner(q.Key); name == owner {
 			work += s.expectedResponseTime(q)
+			same++
 		}
 	}
+	if t.limited {
+		return t.expectedWait(now, same)
+	}
 	work = time.Duration(float64(work) * t.slowness(now))
 	return work / time.Duration(max(1, s.keyedLimit(now, t)))
 }
@@ -171,11 +179,11 @@
 			waiting[s.classStateOf(r)] = true
 		}
 	}
-	for _, state := range s.classes {
+	for id, state := range s.classes {
 		switch {
 		case !waiting[state], state.lastProgress.IsZero():
 			state.lastProgress = now
-		case now.Sub(state.lastProgress) > starvationTimeout:
+		case now.Sub(state.lastProgress) > s.starvationTimeoutOf(now, id):
 			state.starvedUntil = now.Add(starvedRejectionPeriod)
 		}
 	}
@@ -190,7 +198,7 @@
 	case !s.canServe(now, r):
 		return NoTarget, noTargetRetryAfter
 	case s.missesDeadline(now, wait, r):
-		return DeadlineUnreachable, wait
+		return s.unreachableReason(now, r), wait
 	case now.Before(s.classStateOf(r).starvedUntil) && !s.meetsObjective(now, r):
 		return Starved, maxRetryAfter
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -43,10 +43,11 @@
 	// Value is not used by the scheduler; its user may store anything in it.
 	Value any
 
-	arrived  time.Time
-	sequence uint64
-	target   *target
-	tried    []string
+	arrived   time.Time
+	sequence  uint64
+	target    *target
+	permitted bool // sent to target with a permit
+	tried     []string
 }
 
 // TriedTargets returns the names of the targets that the request was sent to, in order.
@@ -70,6 +71,9 @@
 	NoTarget Reason = "no_target"
 	// DeadlineUnreachable means that the request cannot be answered before its deadline.
 	DeadlineUnreachable Reason = "deadline_cannot_be_met"
+	// RateLimited means that the targets that can run the request accept too few requests per second for it to be
+	// answered before its deadline.
+	RateLimited Reason = "rate_limited"
 	// Starved means that the request would miss its objective, and requests that
 	// are more urgent or can still meet theirs take all slots.
 	Starved Reason = "starved"
@@ -150,10 +154,12 @@
 	responseTimes       map[string]*average // by name of the route
 	overallResponseTime average             // over all routes
 	running             int
+	runningPermitted    int // of running, those sent with a permit
 	sequence            uint64
 	slotShare           float64
 	rotation            int
 	classes             map[class]*classState
+	limitedTargets      int // number of targets that state a rate limit
 }
 
 // New returns a Scheduler without targets that may use all slots of the service.
@@ -215,9 +221,11 @@
 	at := sort.Search(len(s.queue), func(i int) bool { return s.precedes(now, r, s.queue[i]) })
 	wait := s.estimateWait(now, r, at)
 	if s.missesDeadline(now, wait, r) {
-		return Rejection{Request: r, Reason: DeadlineUnreachable, RetryAfter: s.jitter(wait)}, false
+		s.wantPermits(now, r)
+		return Rejection{Request: r, Reason: s.unreachableReason(now, r), RetryAfter: s.jitter(wait)}, false
 	}
 	if now.Before(s.classStateOf(r).starvedUntil) && !s.meetsObjective(now.Add(wait), r) {
+		s.wantPermits(now, r)
 		return Rejection{Request: r, Reason: Starved, RetryAfter: s.jitter(maxRetryAfter)}, false
 	}
 	s.queue = append(s.queue, nil)
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -75,6 +75,7 @@
 // target is the state and the statistics that a host keeps of one target.
 type target struct {
 	platform.Target
+	rateLimit
 
 	running               int
 	warmAt                time.Time   // when a cold target reaches its full speed
@@ -147,6 +148,7 @@
 
 func (t *target) start(time.Time) {
 	t.running++
+	t.usePermit()
 	t.probePending = false
 }
 
@@ -155,6 +157,9 @@
 	t := r.target
 	t.running--
 	s.running--
+	if r.permitted {
+		s.runningPermitted--
+	}
 	switch result.Outcome {
 	case Answered:
 		s.recordResponseTime(now, t, r, result.ResponseTime)
