Log when the store has come back from a copy

The logs could not tell a store that was away from one that came back from a copy. The client of the store reads Store-Era, hosts log the first response of a later era with the versions that they have, and a coordinator that finds another document logs its term and fencing token beside its own. Nothing acts on the era yet.

--- a/coordination/document.go
+++ b/coordination/document.go
@@ -78,7 +78,8 @@
 		return platform.Object{}, err
 	}
 	if have.Coordinator != l.process || have.Term != d.Term || have.Fence != d.Fence {
-		l.member.options.Log.Warn("coordination: Another process wrote the document.", "version", uint64(obj.Version))
+		l.member.options.Log.Warn("coordination: Another process wrote the document.", "version", uint64(obj.Version),
+			"coordinator", have.Coordinator, "term", have.Term, "fence", have.Fence, "own_term", d.Term, "own_fence", d.Fence)
 		return platform.Object{}, nil
 	}
 	return obj, nil
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -118,7 +118,7 @@
 		ownPermits:    ratelimit.NewAllocator(),
 		initialised:   make(chan struct{}),
 	}
-	e.store.Store(platform.NewClient(s.StoreAddress))
+	e.store.Store(e.newStoreClient(s.StoreAddress))
 	e.member = coordination.New(coordination.Options{
 		Host:          s.Host,
 		Process:       s.Host + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/settings"
 )
 
@@ -10,7 +9,7 @@
 func (e *Edge) Reload(s settings.Edge, reason string) {
 	old := e.settings.StoreAddress
 	if s.StoreAddress != old {
-		e.store.Store(platform.NewClient(s.StoreAddress)) // calls in progress finish on the old client
+		e.store.Store(e.newStoreClient(s.StoreAddress)) // calls in progress finish on the old client
 	}
 	e.mu.Lock()
 	e.settings.StoreAddress = s.StoreAddress
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/redwingtally/redwingtally/platform"
@@ -115,6 +116,15 @@
 	return max(pause, time.Duration(e.member.State().Hosts)*watchPausePerHost)
 }
 
+// newStoreClient returns a client of the store that logs when the store has come back from a copy.
+func (e *Edge) newStoreClient(address netip.AddrPort) *platform.Client {
+	client := platform.NewClient(address)
+	client.OnEraChange(func(before, now uint64) {
+		e.log.Warn("store: Restored from a copy.", "era_before", before, "era", now, "versions", e.feed.Versions())
+	})
+	return client
+}
+
 // storeFailed records that listing the objects of a kind failed.
 func (e *Edge) storeFailed(kind string, err error) {
 	if !e.ownStoreUnreachable() {
