Reproduce changes that are ignored after the store was restored

The stand-in of the store can be copied and restored: versions go back, the era grows, watches from versions that it does not have get 410.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/netip"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -61,6 +62,7 @@
 	objects      map[string]platform.Object
 	staleObjects map[string]platform.Object // returned by stale reads while they are frozen
 	version      platform.Version
+	era          uint64 // grows with every Restore
 	changed      chan struct{}
 	hosts        []hostChange
 	hostLag      time.Duration
@@ -85,6 +87,7 @@
 		objects: map[string]platform.Object{},
 		changed: make(chan struct{}),
 		hostLag: o.HostLag,
+		era:     1,
 	}
 	if p.hostLag == 0 {
 		p.hostLag = defaultHostLag
@@ -118,6 +121,30 @@
 	p.faults = f
 }
 
+// A Copy is a copy of the objects of a Platform.
+type Copy struct {
+	objects map[string]platform.Object
+	version platform.Version
+}
+
+// Copy returns a copy of all objects.
+func (p *Platform) Copy() Copy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Copy{objects: maps.Clone(p.objects), version: p.version}
+}
+
+// Restore replaces all objects by a copy and begins the next era. Versions that were given out
+// after the copy are given out again.
+func (p *Platform) Restore(c Copy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects, p.version = maps.Clone(c.objects), c.version
+	p.era++
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // SetHosts sets the list of hosts, which becomes visible after the host lag.
 func (p *Platform) SetHosts(hosts []platform.Host) {
 	p.mu.Lock()
@@ -137,8 +164,9 @@
 func (p *Platform) withFaults(h app.HandlerFunc) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
 		p.mu.Lock()
-		f := p.faults
+		f, era := p.faults, p.era
 		p.mu.Unlock()
+		c.Header(platform.EraHeader, strconv.FormatUint(era, 10))
 		if f.Delay > 0 {
 			sleep(ctx, f.Delay)
 		}
@@ -309,8 +337,13 @@
 	for expired := false; ; {
 		p.mu.Lock()
 		changes, version := changesSince(p.objects, c.Param("kind"), q.From, true), p.version
-		changed, unavailable := p.changed, p.faults.Unavailable
+		changed, unavailable, era := p.changed, p.faults.Unavailable, p.era
 		p.mu.Unlock()
+		c.Header(platform.EraHeader, strconv.FormatUint(era, 10))
+		if q.From > version {
+			c.AbortWithMsg("this history is gone", 410)
+			return
+		}
 		if expired || len(changes) > 0 && !unavailable {
 			c.JSON(200, platform.EncodeChanges(changes, version))
 			return
