Order the store's versions by era, then by revision

Cause: hosts take the store's revision for a clock that never goes back. Lists, changes and objects with a lower or equal revision count as old, a watch may continue from a revision that was given out again, and a condition may hold by chance.

Ruled out: watches that hang (they were reset at 15.0 s and listed at 17.1 s); configurations refused as older (no such log line).

Change: platform.Version holds the era in its high bits, so that every comparison in feeds, replies between hosts and conditions orders eras first. Conditions and watches of an earlier era fail in the client, also where the revision exists again (ErrConflict, ErrRestored, ErrCompacted); lists that may lag have no version after the first era. The directory keeps entries that the copy lacks as after an outage, keeps draining targets draining, and does not use for 5 s an entry whose removal it had seen.

--- a/coordination/coordination_test.go
+++ b/coordination/coordination_test.go
@@ -107,7 +107,7 @@
 // startHosts starts a store and n hosts, and waits until one host coordinates and
 // all have received the number of hosts.
 func startHosts(t *testing.T, n int) []*testHost {
-	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{})
+	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{Era: 1})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
@@ -222,7 +222,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{})
+			p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{Era: 1})
 			c.Assert(err, qt.IsNil)
 			t.Cleanup(func() {
 				ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
@@ -254,7 +254,7 @@
 // the replies to all hosts.
 func TestSmallHostHandsOver(t *testing.T) {
 	c := qt.New(t)
-	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{})
+	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{Era: 1})
 	c.Assert(err, qt.IsNil)
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
@@ -285,7 +285,7 @@
 func TestFollowersFindASuccessorCheaply(t *testing.T) {
 	const followers = 12
 	c := qt.New(t)
-	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{})
+	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{Era: 1})
 	c.Assert(err, qt.IsNil)
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
--- a/coordination/document.go
+++ b/coordination/document.go
@@ -74,11 +74,11 @@
 	}
 	have, err := decodeDocument(obj)
 	if err != nil {
-		l.member.options.Log.Error("coordination: Document is malformed.", "version", uint64(obj.Version), "error", err.Error())
+		l.member.options.Log.Error("coordination: Document is malformed.", "version", obj.Version.String(), "error", err.Error())
 		return platform.Object{}, err
 	}
 	if have.Coordinator != l.process || have.Term != d.Term || have.Fence != d.Fence {
-		l.member.options.Log.Warn("coordination: Another process wrote the document.", "version", uint64(obj.Version),
+		l.member.options.Log.Warn("coordination: Another process wrote the document.", "version", obj.Version.String(),
 			"coordinator", have.Coordinator, "term", have.Term, "fence", have.Fence, "own_term", d.Term, "own_fence", d.Fence)
 		return platform.Object{}, nil
 	}
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -106,7 +106,7 @@
 	for _, f := range m.State().RejectedFingerprints {
 		l.crashes.Reject(now(), f)
 	}
-	m.options.Log.Info("coordination: Coordinating.", "term", d.Term, "fence", d.Fence, "resigned_before", stopped, "version", uint64(obj.Version))
+	m.options.Log.Info("coordination: Coordinating.", "term", d.Term, "fence", d.Fence, "resigned_before", stopped, "version", obj.Version.String())
 	if !m.setLeader(l, d.Term) {
 		m.options.Log.Info("coordination: Superseded before the term started.", "term", d.Term)
 		return true
--- a/coordination/leader_test.go
+++ b/coordination/leader_test.go
@@ -83,7 +83,7 @@
 
 // attachStore connects a leader to a new store that holds a document written by it.
 func attachStore(t *testing.T, l *leader) *platform.Client {
-	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{})
+	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{Era: 1})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	d := directory.New(2 * time.Second)
-//	d.Set(target)
+//	d.Set(now, target)
 //	d.Remove(now, "i-7f3a")
 //	for _, t := range d.ServiceTargets(now, "stockroom") { ... }
 package directory
@@ -34,6 +34,11 @@
 	// removal, draining targets not counted.
 	massRemovalMinCount = 3
 	massRemovalMinShare = 0.5
+	// restoredDoubt is how long after the platform was restored from a copy an entry is not used whose removal had been
+	// seen before. The platform removes the entry of a target that has ended after three heartbeats of up to 1.5 s.
+	restoredDoubt = 5 * time.Second
+	// departureRetention is how long removals are remembered. Copies are seconds old.
+	departureRetention = time.Minute
 )
 
 // A Directory holds the registered targets and those whose removed entries are
@@ -43,19 +48,28 @@
 	drainTime           time.Duration // how long a draining target may still receive requests
 	platformUnavailable bool          // the platform does not answer
 	platformRecoveredAt time.Time     // when the last outage of the platform ended
+	platformRestoredAt  time.Time     // when the platform last came back from a copy
+	departures          map[string]departure
 	version             uint64
 }
 
+// departure is the last removal of a target's entry while the platform was available.
+type departure struct {
+	target    platform.Target
+	removedAt time.Time
+}
+
 // entry is the registration of one target.
 type entry struct {
 	target      platform.Target
 	removedAt   time.Time // when the entry was removed; zero while it is listed
 	retainUntil time.Time // until when the target of a removed entry is usable
+	usableFrom  time.Time // when the target of a doubtful entry becomes usable; zero if there is no doubt
 }
 
 // New returns an empty Directory. drainTime is how long a draining target may still receive requests.
 func New(drainTime time.Duration) *Directory {
-	return &Directory{entries: map[string]*entry{}, drainTime: drainTime}
+	return &Directory{entries: map[string]*entry{}, departures: map[string]departure{}, drainTime: drainTime}
 }
 
 // Version returns a number that grows when entries are set, removed or deleted. It
@@ -73,12 +87,33 @@
 	}
 }
 
-// Set adds or replaces the entry of a target.
-func (d *Directory) Set(t platform.Target) {
-	if e, ok := d.entries[t.Name]; ok && e.removedAt.IsZero() && e.target == t {
+// PlatformRestored records that the platform has come back from a copy that is some seconds old. Entries
+// that it lacks may only not have been written again, as after an outage, and those that it has may be of targets
+// that have left since.
+func (d *Directory) PlatformRestored(now time.Time) {
+	d.platformUnavailable = false
+	d.platformRecoveredAt, d.platformRestoredAt = now, now
+}
+
+// Set adds or replaces the entry of a target. A target that was draining remains so until it starts
+// again, whatever the entry says: a copy of the platform may be older than the change.
+func (d *Directory) Set(now time.Time, t platform.Target) {
+	next := &entry{target: t}
+	e, known := d.entries[t.Name]
+	if known && e.target.StartedAt.Equal(t.StartedAt) {
+		next.target.Draining = t.Draining || e.target.Draining
+		next.usableFrom = e.usableFrom
+	}
+	if gone, ok := d.departures[t.Name]; ok && gone.target.StartedAt.Equal(t.StartedAt) {
+		next.target.Draining = next.target.Draining || gone.target.Draining
+		if doubtful := d.platformRestoredAt.Add(restoredDoubt); gone.removedAt.Before(d.platformRestoredAt) && now.Before(doubtful) {
+			next.usableFrom = doubtful
+		}
+	}
+	if known && e.removedAt.IsZero() && *e == *next {
 		return
 	}
-	d.entries[t.Name] = &entry{target: t}
+	d.entries[t.Name] = next
 	d.version++
 }
 
@@ -93,17 +128,30 @@
 	e.removedAt, e.retainUntil = now, now
 	switch {
 	case e.target.Draining:
+		d.recordDeparture(now, e.target)
 	case d.platformUnavailable:
 		e.retainUntil = now.Add(reregistrationTime)
 	case now.Before(d.platformRecoveredAt.Add(reregistrationTime)):
 		e.retainUntil = d.platformRecoveredAt.Add(reregistrationTime)
 	case d.isMassRemoval(now, e.target.Service):
 		d.retainMassRemoved(now, e.target.Service)
+	default:
+		d.recordDeparture(now, e.target)
 	}
 	d.version++
 	d.DeleteExpired(now)
 }
 
+// recordDeparture remembers that a target has left, and forgets early departures.
+func (d *Directory) recordDeparture(now time.Time, t platform.Target) {
+	for name, gone := range d.departures {
+		if now.Sub(gone.removedAt) > departureRetention {
+			delete(d.departures, name)
+		}
+	}
+	d.departures[t.Name] = departure{target: t, removedAt: now}
+}
+
 // isMassRemoval reports whether massRemovalMinCount and massRemovalMinShare of a
 // service's targets were removed within massRemovalWindow. Draining targets do not
 // count.
@@ -144,7 +192,7 @@
 
 // usable reports whether requests may be sent to the target of an entry.
 func (e *entry) usable(now time.Time) bool {
-	return e.removedAt.IsZero() || now.Before(e.retainUntil)
+	return (e.removedAt.IsZero() || now.Before(e.retainUntil)) && !now.Before(e.usableFrom)
 }
 
 // ServiceTargets returns the usable targets of a service, including draining ones, sorted by name.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -16,7 +16,7 @@
 func newFilledDirectory(n int) *Directory {
 	d := New(2 * time.Second)
 	for i := range n {
-		d.Set(platform.Target{Name: fmt.Sprint("t", i), Service: "stock", StartedAt: start})
+		d.Set(start, platform.Target{Name: fmt.Sprint("t", i), Service: "stock", StartedAt: start})
 	}
 	return d
 }
@@ -54,10 +54,10 @@
 			d.PlatformUnavailable()
 			d.PlatformRecovered(now)
 			removeFirstFour(d, now)
-			d.Set(platform.Target{Name: "t1", Service: "stock", StartedAt: start})
+			d.Set(start, platform.Target{Name: "t1", Service: "stock", StartedAt: start})
 		}, 2300 * time.Millisecond, 1},
 		{"draining", func(d *Directory, now time.Time) {
-			d.Set(platform.Target{Name: "t1", Service: "stock", StartedAt: start, Draining: true})
+			d.Set(start, platform.Target{Name: "t1", Service: "stock", StartedAt: start, Draining: true})
 			d.PlatformUnavailable()
 			d.Remove(now, "t1")
 		}, 0, 3},
@@ -96,9 +96,9 @@
 	c := qt.New(t)
 	d := newFilledDirectory(2)
 	before := d.Version()
-	d.Set(platform.Target{Name: "t1", Service: "stock", StartedAt: start})
+	d.Set(start, platform.Target{Name: "t1", Service: "stock", StartedAt: start})
 	c.Check(d.Version(), qt.Equals, before)
-	d.Set(platform.Target{Name: "t1", Service: "stock", StartedAt: start.Add(time.Second)})
+	d.Set(start, platform.Target{Name: "t1", Service: "stock", StartedAt: start.Add(time.Second)})
 	c.Check(d.Version() > before, qt.IsTrue)
 	c.Check(d.AllTargets(start)[1].StartedAt, qt.Equals, start.Add(time.Second))
 }
@@ -124,7 +124,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			d := New(drain)
 			for i := range test.size {
-				d.Set(platform.Target{Name: fmt.Sprint("t", i), Service: "stock", StartedAt: start, Draining: i < test.drained})
+				d.Set(start, platform.Target{Name: fmt.Sprint("t", i), Service: "stock", StartedAt: start, Draining: i < test.drained})
 			}
 			for i := range test.removed {
 				d.Remove(start, fmt.Sprint("t", i))
--- a/edge/bench_test.go
+++ b/edge/bench_test.go
@@ -24,7 +24,7 @@
 		name := fmt.Sprint("s", s)
 		configuration.Services = append(configuration.Services, platform.Service{Name: name, Keyed: s == 0})
 		for i := range n {
-			e.targets.Set(platform.Target{
+			e.targets.Set(time.Now(), platform.Target{
 				Name: fmt.Sprintf("i-%d-%d", s, i), StartedAt: time.Unix(1, 0), Service: name, Slots: 2,
 				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(s), byte(i >> 8), byte(i)}), 9000),
 			})
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -88,7 +88,8 @@
 	mu               sync.Mutex
 	services         map[string]*service
 	targets          *directory.Directory
-	storeUnreachable bool // calls of this host to the store fail
+	storeEra         uint64 // newest era of the store's objects
+	storeUnreachable bool   // calls of this host to the store fail
 	passedTargets    targetsState
 	usableTargets    int // number of usable targets at the last check of expireTargets
 	crashTable       *quarantine.Table
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -40,7 +40,7 @@
 
 // newHarness starts a harness with the given number of hosts.
 func newHarness(tb testing.TB, hosts int) *harness {
-	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{})
+	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{Era: 1})
 	qt.Assert(tb, err, qt.IsNil)
 	tb.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/redwingtally/redwingtally/internal/ports"
 	"github.com/redwingtally/redwingtally/internal/standin"
 	"github.com/redwingtally/redwingtally/platform"
 )
@@ -69,3 +70,28 @@
 	}
 	c.Check(leaving.Arrivals(), qt.HasLen, before)
 }
+
+// A target whose entry the copy lacks keeps its requests for the time in which targets register again, and is gone
+// after it if its entry does not come back.
+func TestTargetsMissingFromACopyAreKeptForATime(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(t, 2)
+	h.server(standin.ServerOptions{Name: "a", Service: "stock"})
+	h.configure([]platform.Route{route("stock", "/holders/", platform.Idempotent)}, plain("stock"))
+	h.waitServing(0, "/holders/1")
+	h.waitServing(1, "/holders/1")
+	kept := h.platform.Copy()
+	entry, err := platform.EncodeTarget(platform.Target{
+		Name: "late", StartedAt: time.Now(), Service: "stock", Address: ports.Free(t), DataCentre: "leicester", Slots: 2,
+	}, 1)
+	c.Assert(err, qt.IsNil)
+	_, err = h.store.Put(context.Background(), platform.KindTargets, "late", entry, platform.Unconditional())
+	c.Assert(err, qt.IsNil)
+	counts := func(n int) bool { return h.edges[0].TargetCount("stock") == n && h.edges[1].TargetCount("stock") == n }
+	h.eventually("both targets on both hosts", func() bool { return counts(2) })
+	h.platform.Restore(kept)
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		c.Assert(counts(2), qt.IsTrue)
+	}
+	h.eventually("one target on both hosts", func() bool { return counts(1) })
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -39,7 +39,7 @@
 	}
 	e.metrics.StoreCalls.WithLabelValues("preload", "ok").Inc()
 	e.feed.Preload(kind, objects, version)
-	e.log.Info("store: Objects preloaded.", "kind", kind, "objects", len(objects), "version", uint64(version))
+	e.log.Info("store: Objects preloaded.", "kind", kind, "objects", len(objects), "version", version.String())
 }
 
 // watchWhenAssigned watches the objects of one kind while this host has to watch
@@ -82,7 +82,7 @@
 			// The interrupted watch may have missed changes that the store's history no longer holds, and the next
 			// watch would not report the gap. Listing the objects also shows whether the store is unavailable.
 			listed = false
-			e.log.Info("store: Watch failed; listing the objects.", "kind", kind, "version", uint64(from), "error", err.Error())
+			e.log.Info("store: Watch failed; listing the objects.", "kind", kind, "version", from.String(), "error", err.Error())
 			continue
 		}
 		if err != nil {
@@ -97,7 +97,7 @@
 			changes = e.feed.Apply(kind, objects, from)
 		} else {
 			changes = e.feed.Replace(kind, objects, from)
-			e.log.Info("store: Objects listed.", "kind", kind, "objects", len(objects), "changes", len(changes), "version", uint64(from))
+			e.log.Info("store: Objects listed.", "kind", kind, "objects", len(objects), "changes", len(changes), "version", from.String())
 		}
 		listed = true
 		e.applyObjects(changes)
@@ -136,7 +136,7 @@
 // storeSucceeded records that the store responded to a call.
 func (e *Edge) storeSucceeded(kind string, version platform.Version) {
 	if e.ownStoreUnreachable() {
-		e.log.Info("store: Available again.", "kind", kind, "version", uint64(version))
+		e.log.Info("store: Available again.", "kind", kind, "version", version.String())
 	}
 	e.setOwnStoreUnreachable(false)
 }
@@ -195,6 +195,7 @@
 // from another host.
 func (e *Edge) applyObjects(changes []platform.Object) {
 	changed := false
+	e.recordEra(changes)
 	targets := targetBatch{edge: e}
 	for _, o := range changes {
 		switch {
@@ -211,6 +212,21 @@
 	e.signalInitialState()
 }
 
+// recordEra tells the directory when changes are the first of a later era, that is, when the store has
+// come back from a copy.
+func (e *Edge) recordEra(changes []platform.Object) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, o := range changes {
+		if era := o.Version.Era(); era > e.storeEra {
+			if e.storeEra > 0 {
+				e.targets.PlatformRestored(time.Now())
+			}
+			e.storeEra = era
+		}
+	}
+}
+
 // signalInitialState releases the requests in awaitInitialState once the
 // configuration and the targets have been received.
 func (e *Edge) signalInitialState() {
@@ -224,7 +240,7 @@
 func (e *Edge) applyConfiguration(o platform.Object) bool {
 	c, err := platform.DecodeConfiguration(o)
 	if err != nil {
-		e.log.Error("configuration: Malformed; keeping the one in force.", "version", uint64(o.Version), "error", err.Error())
+		e.log.Error("configuration: Malformed; keeping the one in force.", "version", o.Version.String(), "error", err.Error())
 		return false
 	}
 	e.mu.Lock()
@@ -234,7 +250,7 @@
 		return false
 	}
 	e.table.Store(routing.New(c))
-	e.log.Info("configuration: In force.", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "store_version", uint64(o.Version))
+	e.log.Info("configuration: In force.", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "store_version", o.Version.String())
 	return true
 }
 
@@ -261,7 +277,7 @@
 	if o.Deleted || err != nil {
 		e.targets.Remove(time.Now(), o.Name)
 	} else {
-		e.targets.Set(t)
+		e.targets.Set(time.Now(), t)
 	}
 	changed := e.targets.Version() != before
 	e.mu.Unlock()
@@ -275,12 +291,12 @@
 	b.logged++
 	switch {
 	case o.Deleted:
-		e.log.Info("directory: Entry removed.", "target", o.Name, "version", uint64(o.Version))
+		e.log.Info("directory: Entry removed.", "target", o.Name, "version", o.Version.String())
 	case err != nil:
 		e.log.Warn("directory: Entry does not describe a target.", "entry", o.Name, "error", err.Error())
 	default:
 		e.log.Info("directory: Target changed.", "target", t.Name, "service", t.Service, "address", t.Address.String(),
-			"draining", t.Draining, "born", t.StartedAt.UnixMilli(), "cold_ms", t.WarmupLeft.Milliseconds(), "version", uint64(o.Version))
+			"draining", t.Draining, "born", t.StartedAt.UnixMilli(), "cold_ms", t.WarmupLeft.Milliseconds(), "version", o.Version.String())
 	}
 	return changed
 }
@@ -303,7 +319,7 @@
 // logRest logs the number of changes that were not logged one by one.
 func (b *targetBatch) logRest() {
 	if n := b.changed + b.draining + b.removed + b.malformed; n > 0 {
-		b.edge.log.Info("directory: Further entries changed.", "entries", n, "draining", b.draining, "removed", b.removed, "malformed", b.malformed, "version", uint64(b.version))
+		b.edge.log.Info("directory: Further entries changed.", "entries", n, "draining", b.draining, "removed", b.removed, "malformed", b.malformed, "version", b.version.String())
 	}
 }
 
--- a/edge/watch_test.go
+++ b/edge/watch_test.go
@@ -63,7 +63,7 @@
 	e.table.Store(routing.New(configuration))
 	set := func(names ...string) {
 		for _, name := range names {
-			e.targets.Set(platform.Target{Name: name, StartedAt: time.Unix(1, 0), Service: "stock", Slots: 2, Address: netip.MustParseAddrPort("10.0.0.1:1")})
+			e.targets.Set(time.Now(), platform.Target{Name: name, StartedAt: time.Unix(1, 0), Service: "stock", Slots: 2, Address: netip.MustParseAddrPort("10.0.0.1:1")})
 		}
 	}
 	passed := func() int { e.updateServices(); return e.TargetCount("stock") }
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -98,7 +98,7 @@
 	{"ed-relist", "edge/watch.go", `listed = false
 			e.log`, "e.log", "./edge"},
 	{"ed-badentry", "edge/watch.go", "if o.Deleted || err != nil {", "if o.Deleted {", "./edge"},
-	{"ed-malformed", "edge/watch.go", `e.log.Error("configuration: Malformed; keeping the one in force.", "version", uint64(o.Version), "error", err.Error())
+	{"ed-malformed", "edge/watch.go", `e.log.Error("configuration: Malformed; keeping the one in force.", "version", o.Version.String(), "error", err.Error())
 		return false`, "c = &platform.Configuration{}", "./edge"},
 	{"ed-resign", "edge/edge.go", `	e.member.Resign(ctx)
 `, "", "./edge"},
@@ -170,6 +170,14 @@
 	{"rl-bucket", "ratelimit/allocator.go", "n := min(w.Count, int(b.tokens))", "n := w.Count", "./ratelimit"},
 	{"rl-order", "ratelimit/ratelimit.go", "case !observedAt.After(e.observedAt):", "case false:", "./ratelimit"},
 	{"co-limits", "coordination/ratelimits.go", "r.RateLimits = limits", "_ = limits", "./coordination"},
+	{"pl-era", "platform/store.go", "return Version(era<<revisionBits | revision&(1<<revisionBits-1))", "return Version(revision)", "./platform"},
+	{"pl-era-condition", "platform/objectclient.go", "return !cond.Any && cond.Version > 0 && cond.Version.Era() < c.era.Load()", "return false", "./platform"},
+	{"pl-era-update", "platform/objectclient.go", "if !cond.Any && cond.Version > 0 && cond.Version.Era() != era {", "if false {", "./platform"},
+	{"pl-era-watch", "platform/objectclient.go", "if after > 0 && era != after.Era() {", "if false {", "./platform"},
+	{"pl-era-stale", "platform/objectclient.go", "if pages[0].version.Era() > firstEra {", "if false {", "./platform"},
+	{"di-restored-draining", "directory/directory.go", "next.target.Draining = t.Draining || e.target.Draining", "next.target.Draining = t.Draining", "./directory"},
+	{"di-restored-gone", "directory/directory.go", "\t\t\tnext.usableFrom = doubtful", "\t\t\t_ = doubtful", "./directory"},
+	{"ed-era", "edge/watch.go", "e.targets.PlatformRestored(time.Now())", "_ = o", "./edge"},
 	{"ow-limits", "ownership/plan.go", "if perSecond, ok := s.rateLimits[t.Name]; ok {", "if perSecond, ok := s.rateLimits[t.Name]; ok && false {", "./ownership"},
 	{"sc-share", "scheduler/choice.go", "math.Ceil(s.slotShare*slots*overcommit)", "math.Ceil(slots*overcommit)", "./scheduler"},
 	{"sc-cap", "scheduler/choice.go", "|| t.running >= s.keyedLimit(now, t) {", "{", "./scheduler"},
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -27,6 +27,9 @@
 	// HostLag is the delay until a change of the list of hosts becomes visible; 0
 	// means 2 s.
 	HostLag time.Duration
+	// Era is the era that the platform states in its responses, which grows with every Restore; 0
+	// states none.
+	Era uint64
 }
 
 // PlatformFaults are faults that a Platform injects.
@@ -87,7 +90,7 @@
 		objects: map[string]platform.Object{},
 		changed: make(chan struct{}),
 		hostLag: o.HostLag,
-		era:     1,
+		era:     o.Era,
 	}
 	if p.hostLag == 0 {
 		p.hostLag = defaultHostLag
@@ -166,7 +169,7 @@
 		p.mu.Lock()
 		f, era := p.faults, p.era
 		p.mu.Unlock()
-		c.Header(platform.EraHeader, strconv.FormatUint(era, 10))
+		setEra(c, era)
 		if f.Delay > 0 {
 			sleep(ctx, f.Delay)
 		}
@@ -178,6 +181,13 @@
 	}
 }
 
+// setEra states the era in a response, unless it is 0.
+func setEra(c *app.RequestContext, era uint64) {
+	if era > 0 {
+		c.Header(platform.EraHeader, strconv.FormatUint(era, 10))
+	}
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -339,7 +349,7 @@
 		changes, version := changesSince(p.objects, c.Param("kind"), q.From, true), p.version
 		changed, unavailable, era := p.changed, p.faults.Unavailable, p.era
 		p.mu.Unlock()
-		c.Header(platform.EraHeader, strconv.FormatUint(era, 10))
+		setEra(c, era)
 		if q.From > version {
 			c.AbortWithMsg("this history is gone", 410)
 			return
