--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -26,3 +26,6 @@
 
 // ActiveRequests returns the number of requests in progress.
 func (e *Edge) ActiveRequests() int64 { return e.activeRequests.Load() }
+
+// Coordinates reports whether the host coordinates.
+func (e *Edge) Coordinates() bool { return e.member.Leading() }
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -36,6 +36,7 @@
 	settings []settings.Edge
 	version  uint64
 	requests atomic.Int64
+	cancels  []context.CancelFunc // end the background work of each host
 }
 
 // newHarness starts a harness with the given number of hosts.
@@ -68,7 +69,28 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.tb.Cleanup(cancel)
 	qt.Assert(h.tb, e.Start(ctx), qt.IsNil)
-	h.edges, h.settings = append(h.edges, e), append(h.settings, s)
+	h.edges, h.settings, h.cancels = append(h.edges, e), append(h.settings, s), append(h.cancels, cancel)
+}
+
+// stopCoordinator ends the background work of the host that coordinates, without a resignation.
+func (h *harness) stopCoordinator() {
+	for i, e := range h.edges {
+		if e.Coordinates() {
+			h.cancels[i]()
+		}
+	}
+}
+
+// replaceHosts ends the background work of all hosts and starts as many others, which know nothing of before.
+func (h *harness) replaceHosts() {
+	n := len(h.edges)
+	for _, cancel := range h.cancels {
+		cancel()
+	}
+	h.edges, h.settings, h.cancels = nil, nil, nil
+	for i := range n {
+		h.addEdge(fmt.Sprint("other-", i))
+	}
 }
 
 // server starts a stand-in target.
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -95,3 +95,106 @@
 	}
 	h.eventually("one target on both hosts", func() bool { return counts(1) })
 }
+
+// ownerWatch samples which servers hold keys, and fails the test if two hold the same key or a key
+// gets a lower fencing token than before.
+type ownerWatch struct {
+	servers []*standin.Server
+	keys    []uint16
+	tokens  map[uint16]uint64
+	owners  map[uint16]string
+}
+
+// check takes one sample and returns an error text, or "" if there is none.
+func (w *ownerWatch) check() string {
+	for _, k := range w.keys {
+		holder := ""
+		for i, s := range w.servers {
+			token, held := s.Holds(k)
+			if !held {
+				continue
+			}
+			name := fmt.Sprint("server ", i)
+			switch {
+			case holder != "":
+				return fmt.Sprintf("key %d: held by %s and %s", k, holder, name)
+			case token < w.tokens[k], token == w.tokens[k] && w.owners[k] != name:
+				return fmt.Sprintf("key %d: %s holds it with token %d after %s with %d", k, name, token, w.owners[k], w.tokens[k])
+			}
+			holder, w.tokens[k], w.owners[k] = name, token, name
+		}
+	}
+	return ""
+}
+
+// Keys keep one owner at a time, with tokens that grow, after the store was restored from a copy that is older than
+// the last moves, whoever coordinates then.
+func TestKeysKeepOneOwnerAfterARestoredStore(t *testing.T) {
+	tests := []struct {
+		name string
+		// lose makes hosts lose what they know at the moment of the restore.
+		lose func(h *harness)
+		// served is how long all keys may be without an owner afterwards.
+		served time.Duration
+	}{
+		{"the coordinator goes on", func(*harness) {}, 2 * time.Second},
+		{"the coordinator stops", func(h *harness) { h.stopCoordinator() }, 6 * time.Second},
+		{"all hosts are replaced", func(h *harness) { h.replaceHosts() }, 18 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			h := newHarness(t, 3)
+			w := &ownerWatch{keys: []uint16{0, 700, 21845, 40000, 65535}, tokens: map[uint16]uint64{}, owners: map[uint16]string{}}
+			for _, name := range []string{"a", "b", "d", "e"} {
+				w.servers = append(w.servers, h.server(standin.ServerOptions{Name: name, Service: "stock", Keyed: true, Slots: 4}))
+			}
+			h.configure([]platform.Route{route("stock", "/holders/", platform.Idempotent)}, keyed("stock"))
+			owned := func() bool {
+				c.Assert(w.check(), qt.Equals, "")
+				for _, k := range w.keys {
+					held := false
+					for _, s := range w.servers {
+						_, holds := s.Holds(k)
+						held = held || holds
+					}
+					if !held {
+						return false
+					}
+				}
+				return true
+			}
+			h.eventually("all keys owned", owned)
+			kept := h.platform.Copy()
+			for _, leaving := range w.servers[:2] {
+				leaving.Drain()
+				h.eventually("keys moved", func() bool {
+					owned()
+					return !holdsAny(leaving, w.keys)
+				})
+			}
+			h.eventually("all keys owned after the moves", owned)
+			h.platform.Restore(kept)
+			test.lose(h)
+			restored := time.Now()
+			for time.Since(restored) < test.served {
+				owned()
+				time.Sleep(2 * time.Millisecond) // samples running servers
+			}
+			c.Check(owned(), qt.IsTrue)
+			w.servers[2].Drain()
+			h.eventually("keys moved after the restore", func() bool { return owned() && !holdsAny(w.servers[2], w.keys) })
+		})
+	}
+}
+
+// holdsAny reports whether a server holds one of the keys.
+func holdsAny(s *standin.Server, keys []uint16) bool {
+	for _, k := range keys {
+		if _, held := s.Holds(k); held {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/keys.go
+++ b/internal/standin/keys.go
@@ -104,6 +104,14 @@
 	return false
 }
 
+// Holds returns the fencing token of the server's grant for a key. The second result
+// reports whether it has one.
+func (s *Server) Holds(key uint16) (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fencingToken(key)
+}
+
 // fencingToken returns the fencing token of the grant for a key. The second result
 // reports whether there is one. The lock must be held.
 func (s *Server) fencingToken(key uint16) (uint64, bool) {
