Restore the store and limit targets' rates in the soak

The soak injects two further faults: the stand-in of the store, now of its first era, comes back from a copy of up to 8.6 s, after which operators and targets write again, and a target states a rate limit for 7 to 11 s. A target that gets more than one and a half times its limit and 5 requests in 4 s is a violation. Faults of one target no longer end each other.

--- a/cmd/redwingtally-standin/main.go
+++ b/cmd/redwingtally-standin/main.go
@@ -22,6 +22,7 @@
 type platformCommand struct {
 	Address string        `long:"address" required:"true" description:"address to listen on"`
 	HostLag time.Duration `long:"host-lag" default:"2s" description:"delay before a change of the list of hosts is visible"`
+	Era     uint64        `long:"era" default:"0" description:"era that the platform states, which grows when it comes back from a copy; 0 states none"`
 }
 
 type targetCommand struct {
@@ -40,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := standin.StartPlatform(address, standin.PlatformOptions{HostLag: c.HostLag})
+	p, err := standin.StartPlatform(address, standin.PlatformOptions{HostLag: c.HostLag, Era: c.Era})
 	if err != nil {
 		return err
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -66,6 +66,7 @@
 	staleObjects map[string]platform.Object // returned by stale reads while they are frozen
 	version      platform.Version
 	era          uint64 // grows with every Restore
+	copies       []timedCopy
 	changed      chan struct{}
 	hosts        []hostChange
 	hostLag      time.Duration
@@ -103,6 +104,7 @@
 	e.DELETE(platform.ObjectsPath+":kind/:name", p.withFaults(p.remove))
 	e.PUT("/standin/faults", p.putFaults)
 	e.PUT("/standin/hosts", p.putHosts)
+	e.PUT("/standin/restore", p.putRestore)
 	e.GET("/standin/counts", p.getCounts)
 	srv.Start()
 	return p, nil
@@ -130,10 +132,40 @@
 	version platform.Version
 }
 
+// copyInterval is the least time between two copies that a Platform keeps for putRestore, and copyRetention how long
+// it keeps them.
+const (
+	copyInterval  = 200 * time.Millisecond
+	copyRetention = 15 * time.Second
+)
+
+// timedCopy is a copy with its time.
+type timedCopy struct {
+	at time.Time
+	Copy
+}
+
+// keepCopy keeps a copy if the last one is old enough. The lock must be held.
+func (p *Platform) keepCopy() {
+	now := time.Now()
+	if n := len(p.copies); n > 0 && now.Sub(p.copies[n-1].at) < copyInterval {
+		return
+	}
+	for len(p.copies) > 0 && now.Sub(p.copies[0].at) > copyRetention {
+		p.copies = p.copies[1:]
+	}
+	p.copies = append(p.copies, timedCopy{now, p.copyLocked()})
+}
+
 // Copy returns a copy of all objects.
 func (p *Platform) Copy() Copy {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.copyLocked()
+}
+
+// copyLocked is Copy for callers that hold the lock.
+func (p *Platform) copyLocked() Copy {
 	return Copy{objects: maps.Clone(p.objects), version: p.version}
 }
 
@@ -325,6 +357,7 @@
 		c.JSON(status, platform.EncodeObject(next))
 		return
 	}
+	p.keepCopy()
 	p.version++
 	next.Version = p.version
 	p.objects[key] = next
@@ -414,6 +447,32 @@
 	p.SetHosts(hosts)
 }
 
+// RestoreRequest asks a Platform to come back from the newest copy that is at least Age old.
+type RestoreRequest struct {
+	// Age is the least age of the copy, in nanoseconds in JSON.
+	Age time.Duration `json:"age"`
+}
+
+func (p *Platform) putRestore(_ context.Context, c *app.RequestContext) {
+	var r RestoreRequest
+	if !decodeBody(c, &r) {
+		return
+	}
+	p.mu.Lock()
+	var found *timedCopy
+	for i := range p.copies {
+		if time.Since(p.copies[i].at) >= r.Age {
+			found = &p.copies[i]
+		}
+	}
+	p.mu.Unlock()
+	if found == nil {
+		c.AbortWithMsg("no copy is that old", 404)
+		return
+	}
+	p.Restore(found.Copy)
+}
+
 func (p *Platform) getCounts(_ context.Context, c *app.RequestContext) {
 	c.JSON(200, p.Counts())
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -165,6 +165,13 @@
 	s.faults = f
 }
 
+// UpdateFaults changes some of the injected faults and keeps the others.
+func (s *Server) UpdateFaults(change func(*ServerFaults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+}
+
 // Stop stops the server without waiting for running requests. The users' platform
 // removes an entry after some missed heartbeats, or immediately if the target was
 // draining; the stand-in keeps it until Deregister.
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -121,6 +121,7 @@
 			violations = append(violations, fmt.Sprintf("request %s was rejected with status %d but has run", result.id, result.status))
 		}
 	}
+	violations = append(violations, s.rateLimitViolations()...)
 	for key, keyRuns := range byKey {
 		violations = append(violations, ownershipViolations(key, keyRuns)...)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -76,15 +76,22 @@
 	{"reset a target", targetFault(resetAll)},
 	{"delay a target", targetFault(delayAll)},
 	{"failed, lost and truncated responses", func(_ *system, _ *daemon, tg *target, duration time.Duration) {
-		tg.SetFaults(standin.ServerFaults{ErrorShare: 0.1, UnansweredShare: 0.1, TruncatedShare: 0.1})
+		share := func(share float64) {
+			tg.UpdateFaults(func(f *standin.ServerFaults) { f.ErrorShare, f.UnansweredShare, f.TruncatedShare = share, share, share })
+		}
+		share(0.1)
 		wait(duration)
-		tg.SetFaults(standin.ServerFaults{})
+		share(0)
 	}},
 	{"slow target", func(_ *system, _ *daemon, tg *target, duration time.Duration) {
-		tg.SetFaults(standin.ServerFaults{ServiceTimeFactor: 10})
+		tg.UpdateFaults(func(f *standin.ServerFaults) { f.ServiceTimeFactor = 10 })
 		wait(duration)
-		tg.SetFaults(standin.ServerFaults{})
+		tg.UpdateFaults(func(f *standin.ServerFaults) { f.ServiceTimeFactor = 0 })
+	}},
+	{"limit the rate of a target", func(s *system, _ *daemon, tg *target, duration time.Duration) {
+		s.limitRate(tg, duration+limitSettleTime+limitWindow)
 	}},
+	{"restore the store", func(s *system, _ *daemon, _ *target, duration time.Duration) { s.restoreStore(2 * duration) }},
 	{"drain a target", func(s *system, _ *daemon, tg *target, _ time.Duration) {
 		s.addTarget(tg.service)
 		tg.Drain()
@@ -159,7 +166,9 @@
 			})
 		}
 		if s.random.IntN(4) == 0 {
+			s.mu.Lock()
 			s.configure()
+			s.mu.Unlock()
 		}
 		wait(pause)
 	}
@@ -193,7 +202,9 @@
 // awaitRecovery writes a configuration and waits until every daemon is ready,
 // serves every key and has that configuration in force.
 func (s *system) awaitRecovery() {
+	s.mu.Lock()
 	s.configure()
+	s.mu.Unlock()
 	client := &http.Client{Timeout: 3 * time.Second}
 	for _, d := range s.daemons {
 		s.eventually(d.name+" is ready", d.isReady)
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -65,6 +65,7 @@
 	mu              sync.Mutex
 	targets         []*target
 	stoppedRuns     []standin.Run // of stopped targets
+	rateLimits      []rateLimit
 	configVersion   int
 	targetCount     int
 	results         callerResults
@@ -72,7 +73,7 @@
 
 func newSystem(t *testing.T, seed uint64) *system {
 	s := &system{t: t, random: rand.New(rand.NewPCG(seed, 3)), dir: t.TempDir(), platformAddress: ports.Free(t)}
-	s.platform = exec.Command(programs.Path(t, "redwingtally-standin"), "platform", "--address", s.platformAddress.String())
+	s.platform = exec.Command(programs.Path(t, "redwingtally-standin"), "platform", "--era", "1", "--address", s.platformAddress.String())
 	qt.Assert(t, s.platform.Start(), qt.IsNil)
 	t.Cleanup(func() { _ = s.platform.Process.Kill(); _ = s.platform.Wait() })
 	s.client = platform.NewClient(s.platformAddress)
