Keep what a restore needs in one type, and hand over complete documents only

A small host that coordinates does not hand over while its document is incomplete: the successor would begin the wait anew. One log line says when a coordinator begins to check that the hosts still follow it.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -63,14 +63,7 @@
 	views          views
 	replies        replyCache
 	permits        *ratelimit.Allocator
-	hostsBefore    int                 // number of hosts that this one knew when the term started
-	takenOverTerm  uint64              // term of the coordinator whose own document was taken over after a restore; 0 if it was a copy's
-	answers        map[string]uint64   // of takeover
-	reporters      map[string]reporter // by host
-	restoredIn     uint64              // newest era in which this term has met a copy
-	restoredAt     time.Time           // when it has met it
-	ownersSettled  bool                // no earlier coordinator that the document does not tell of can still send orders
-
+	afterRestore
 	confirmNow       chan struct{}  // makes confirmLoop ask the store at once
 	limitsVersion    uint64         // of the rate limits last passed to core
 	limitedTargets   TargetsVersion // of the targets whose limits were passed
@@ -117,8 +110,10 @@
 		member: m, process: m.options.Process, wake: make(chan struct{}, 1), confirmNow: make(chan struct{}, 1),
 		core: ownership.New(ownership.Options{HoldTime: HoldTime, LeaseTime: LeaseTime}), version: obj.Version, confirmedAt: sent,
 		hosts: map[string]*hostReport{}, crashes: quarantine.New(), changed: make(chan struct{}), permits: ratelimit.NewAllocator(),
-		expectedHosts: d.HostCount, startedAt: now(), hostsBefore: m.State().Hosts,
-		takenOverTerm: start.term, answers: start.answers, reporters: map[string]reporter{},
+		expectedHosts: d.HostCount, startedAt: now(),
+		afterRestore: afterRestore{
+			hostsBefore: m.State().Hosts, takenOverTerm: start.term, answers: start.answers, reporters: map[string]reporter{},
+		},
 	}
 	m.assumeHosts(d)
 	l.core.Begin(now(), d, start.stopped)
@@ -289,10 +284,10 @@
 }
 
 // shouldHandOver reports whether this process is a low-priority candidate and a host that
-// is not can take over without a wait for this process's lease: no write is pending and
-// no earlier coordinator can send orders. The caller holds l.mu.
+// is not can take over without a wait for this process's lease: no write is pending,
+// no earlier coordinator can send orders and the document is complete. The caller holds l.mu.
 func (l *leader) shouldHandOver(t time.Time) bool {
-	if l.member.options.TakeoverDelay == 0 || t.Sub(l.startedAt) < handOverDelay || l.core.Proposed() != nil || !l.core.Document().OwnersFenced {
+	if l.member.options.TakeoverDelay == 0 || t.Sub(l.startedAt) < handOverDelay || l.core.Proposed() != nil || !l.core.Document().OwnersFenced || l.core.Document().Incomplete {
 		return false
 	}
 	for _, h := range l.hosts {
--- a/coordination/restored.go
+++ b/coordination/restored.go
@@ -206,10 +206,21 @@
 	return r.Msg, nil
 }
 
-// settleOwners ends the wait for coordinators of before that the document does not tell of, once as many hosts
-// as there were report to this one, or have answered it: a process that follows sends no orders, and the earlier processes of these hosts have
-// ended. If the document taken over is that of the last term that any of them knows, it names all owners. Otherwise earlier
-// grants still have to run out. The caller holds l.mu.
+// afterRestore is what a leader keeps for a store that has come back, or may come back, from a copy.
+type afterRestore struct {
+	takenOverTerm uint64              // term of the coordinator whose own document was taken over; 0 if it was the store's
+	answers       map[string]uint64   // of takeover
+	hostsBefore   int                 // number of hosts that this one knew when the term started
+	ownersSettled bool                // no earlier coordinator that the document does not tell of can still send orders
+	reporters     map[string]reporter // by host
+	restoredIn    uint64              // newest era in which this term has met a copy
+	restoredAt    time.Time           // when it has met it
+}
+
+// settleOwners ends the wait for coordinators of before that the document does not tell of, once as many hosts as there
+// were report to this one or have answered it: a process that follows sends no orders, and the earlier processes of these
+// hosts have ended. If the document taken over is that of the last term that any of them knows, it names all owners.
+// Otherwise earlier grants still have to run out. The caller holds l.mu.
 func (l *leader) settleOwners(t time.Time) {
 	if !l.core.Document().Incomplete || l.ownersSettled {
 		return
@@ -276,6 +287,7 @@
 	}
 	if l.restoredIn < era {
 		l.restoredIn, l.restoredAt = era, now()
+		log.Info("coordination: Store was restored from a copy; checking that the hosts follow.", "version", version.String(), "era", era, "hosts", len(l.reporters))
 	}
 	if err := l.verifyLocked(own.Term); err != nil {
 		return err
