State the era in all responses of the stand-in store

Trace: hertz's AbortWithMsg resets the response, so that errors of the stand-in lacked Store-Era; a host that started after a restore to a copy without a document got a 404 without an era, took the store for new and created a document with the first tokens. Every access now states the era of what it read or wrote, under one lock. A soak with violations now logs what the daemons wrote about the owners of keys.

--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -202,27 +202,35 @@
 func (p *Platform) withFaults(h app.HandlerFunc) app.HandlerFunc {
 	return func(ctx context.Context, c *app.RequestContext) {
 		p.mu.Lock()
-		f, era := p.faults, p.era
+		f := p.faults
+		p.setEra(c)
 		p.mu.Unlock()
-		setEra(c, era)
 		if f.Delay > 0 {
 			sleep(ctx, f.Delay)
 		}
 		if f.Unavailable {
-			c.AbortWithMsg("platform is unavailable", 503)
+			abort(c, "platform is unavailable", 503)
 			return
 		}
 		h(ctx, c)
 	}
 }
 
-// setEra states the era in a response, unless it is 0.
-func setEra(c *app.RequestContext, era uint64) {
-	if era > 0 {
-		c.Header(platform.EraHeader, strconv.FormatUint(era, 10))
+// setEra states the era in a response, unless it is 0. Every access to the objects states the era of what
+// it has read or written. The lock must be held.
+func (p *Platform) setEra(c *app.RequestContext) {
+	if p.era > 0 {
+		c.Header(platform.EraHeader, strconv.FormatUint(p.era, 10))
 	}
 }
 
+// abort responds with an error status and a message, and keeps the headers.
+func abort(c *app.RequestContext, message string, status int) {
+	c.SetStatusCode(status)
+	c.SetBodyString(message)
+	c.Abort()
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -235,10 +243,11 @@
 
 func (p *Platform) get(_ context.Context, c *app.RequestContext) {
 	p.mu.Lock()
+	p.setEra(c)
 	obj, ok := p.readObjects(c)[c.Param("kind")+"/"+c.Param("name")]
 	p.mu.Unlock()
 	if !ok || obj.Deleted {
-		c.AbortWithMsg("not found", 404)
+		abort(c, "not found", 404)
 		return
 	}
 	c.JSON(200, platform.EncodeObject(obj))
@@ -247,7 +256,7 @@
 func (p *Platform) list(ctx context.Context, c *app.RequestContext) {
 	q, err := platform.ReadListQuery(c.Query)
 	if err != nil {
-		c.AbortWithMsg(err.Error(), 400)
+		abort(c, err.Error(), 400)
 		return
 	}
 	if q.Watch {
@@ -255,6 +264,7 @@
 		return
 	}
 	p.mu.Lock()
+	p.setEra(c)
 	p.refreshHosts(c.Param("kind"))
 	objects, version := changesSince(p.readObjects(c), c.Param("kind"), 0, false), p.version
 	p.mu.Unlock()
@@ -341,7 +351,7 @@
 		o, err = platform.DecodeObject(c.Param("kind"), body)
 	}
 	if err != nil || len(o.Value) > maxValueBytes {
-		c.AbortWithMsg("object is malformed or larger than 1 MiB", 400)
+		abort(c, "object is malformed or larger than 1 MiB", 400)
 		return
 	}
 	if name := c.Param("name"); name != "" {
@@ -350,6 +360,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Writes++
+	p.setEra(c)
 	key := c.Param("kind") + "/" + o.Name
 	current, ok := p.objects[key]
 	next, status := change(o, current, ok && !current.Deleted)
@@ -365,7 +376,7 @@
 	p.changed = make(chan struct{})
 	if p.faults.LostResponses > 0 {
 		p.faults.LostResponses--
-		c.AbortWithMsg("response lost by an injected fault", 504)
+		abort(c, "response lost by an injected fault", 504)
 		return
 	}
 	c.JSON(200, platform.EncodeObject(next))
@@ -383,11 +394,11 @@
 	for expired := false; ; {
 		p.mu.Lock()
 		changes, version := changesSince(p.objects, c.Param("kind"), q.From, true), p.version
-		changed, unavailable, era := p.changed, p.faults.Unavailable, p.era
+		changed, unavailable := p.changed, p.faults.Unavailable
+		p.setEra(c)
 		p.mu.Unlock()
-		setEra(c, era)
 		if q.From > version {
-			c.AbortWithMsg("this history is gone", 410)
+			abort(c, "this history is gone", 410)
 			return
 		}
 		if expired || len(changes) > 0 && !unavailable {
@@ -467,7 +478,7 @@
 	}
 	p.mu.Unlock()
 	if found == nil {
-		c.AbortWithMsg("no copy is that old", 404)
+		abort(c, "no copy is that old", 404)
 		return
 	}
 	p.Restore(found.Copy)
@@ -485,7 +496,7 @@
 		err = json.Unmarshal(body, v)
 	}
 	if err != nil {
-		c.AbortWithMsg(err.Error(), 400)
+		abort(c, err.Error(), 400)
 		return false
 	}
 	return true
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,7 +26,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{1796413181927615288, "responses of the stand-in's store lacked the era when they were errors, so that a host created a new document after a restore"},
+}
 
 func TestRegressions(t *testing.T) {
 	for _, r := range regressions {
@@ -184,6 +186,9 @@
 		}
 	}
 	t.Logf("%d requests, %d served, %d runs", len(s.results.responses), served, len(s.allRuns()))
+	if len(violations) > 0 {
+		s.logCoordination()
+	}
 	c.Check(violations, qt.HasLen, 0, qt.Commentf("seed %d", seed))
 	c.Check(served > len(s.results.responses)/4, qt.IsTrue, qt.Commentf("seed %d: %d of %d served", seed, served, len(s.results.responses)))
 }
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -230,3 +231,19 @@
 	}
 	return string(text[max(0, len(text)-length):])
 }
+
+// logCoordination logs what the daemons wrote about the owners of keys, and when they started and stopped.
+func (s *system) logCoordination() {
+	for _, d := range s.daemons {
+		text, err := os.ReadFile(d.logs.Name())
+		if err != nil {
+			s.t.Logf("%s: %v", d.name, err)
+			continue
+		}
+		for line := range strings.SplitSeq(string(text), "\n") {
+			if strings.Contains(line, `"coordination: `) || strings.Contains(line, `"store: Restored`) || strings.Contains(line, `"edge: St`) {
+				s.t.Log(line)
+			}
+		}
+	}
+}
