--- a/settings/edge_test.go
+++ b/settings/edge_test.go
@@ -49,3 +49,15 @@
 		})
 	}
 }
+
+func TestEdgeFirstStart(t *testing.T) {
+	tests := []struct {
+		line string
+		want bool
+	}{{"", false}, {"first_start: true\n", true}, {"first_start: false\n", false}}
+	for _, test := range tests {
+		s, err := ParseEdge("edge.yaml", []byte(edgeFile+test.line))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, s.FirstStart, qt.Equals, test.want)
+	}
+}
