--- a/edge/ratelimit.go
+++ b/edge/ratelimit.go
@@ -61,6 +61,9 @@
 
 // retainRateLimits deletes the limits of targets that are no longer listed. The caller holds e.mu.
 func (e *Edge) retainRateLimits(now time.Time) {
+	if e.rateLimits.Version() == 0 {
+		return // no target has ever stated a limit
+	}
 	listed := map[ownership.Incarnation]bool{}
 	for _, t := range e.targets.AllTargets(now) {
 		listed[ownership.IncarnationOf(t)] = true
