Watch the store while the coordinator is in an earlier era

Found by reading: a host that has seen a later era than its coordinator takes all that this one passes on for old, and hears of no change until the coordinator has listed the store again, or, with an earlier build, for ever. It now watches the store itself meanwhile. A report that names no version of rate limits, as those of earlier builds, does not return at once for ever.

--- a/coordination/follower.go
+++ b/coordination/follower.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
+	"github.com/redwingtally/redwingtally/feed"
 	"github.com/redwingtally/redwingtally/ownership"
 	"github.com/redwingtally/redwingtally/platform"
 )
@@ -103,6 +104,8 @@
 	f.member.applyReply(f.document, reply)
 	if !f.member.loaded() && now().Sub(f.member.startedAt) > confirmListsTimeout+overdueDelays*f.member.options.TakeoverDelay {
 		f.member.setWatching(true, "coordinator does not confirm the initial lists")
+	} else if f.member.eraBehind(reply.FeedVersions) {
+		f.member.setWatching(true, "coordinator has objects of an earlier era")
 	} else {
 		f.member.setWatching(reply.WatchStore, "set by the coordinator")
 	}
@@ -116,6 +119,17 @@
 	return f.member.recheckRequested() && f.member.superseded(ctx, f.document)
 }
 
+// eraBehind reports whether versions are of an earlier era of the store than this host has seen. The coordinator's changes
+// then count as old here: it has not learned of a restore yet, or is an earlier build.
+func (m *Member) eraBehind(versions feed.Versions) bool {
+	for _, v := range versions {
+		if v.Era() < m.options.Store().Era() {
+			return true
+		}
+	}
+	return false
+}
+
 // handleFailure handles a report without a reply and reports whether to stop
 // following the coordinator.
 func (f *follower) handleFailure(ctx context.Context, err error) bool {
--- a/coordination/ratelimits.go
+++ b/coordination/ratelimits.go
@@ -153,6 +153,12 @@
 	return RateLimitsVersion{Process: l.process, Number: l.member.options.RateLimits.Version()}
 }
 
+// hasRateLimitsFor reports whether the sender of a report lacks changed limits. A sender that names no version, such as an
+// earlier build, receives them with the next reply.
+func (l *leader) hasRateLimitsFor(r *Report) bool {
+	return r.KnownRateLimits.Process != "" && r.KnownRateLimits != l.rateLimitsVersion()
+}
+
 // rateLimitsSince returns the limits that changed after a version, and the version up to which they are complete.
 func (l *leader) rateLimitsSince(known RateLimitsVersion) ([]ratelimit.Limit, RateLimitsVersion) {
 	if known.Process != l.process {
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -106,7 +106,7 @@
 	l.publish()
 	end := time.NewTimer(r.Wait)
 	defer end.Stop()
-	for l.views.newest.Version == r.View && !l.ended && !l.hasObjectsFor(r) && r.KnownRateLimits == l.rateLimitsVersion() {
+	for l.views.newest.Version == r.View && !l.ended && !l.hasObjectsFor(r) && !l.hasRateLimitsFor(r) {
 		changed := l.changed
 		l.mu.Unlock()
 		select {
--- a/coordination/restored_test.go
+++ b/coordination/restored_test.go
@@ -8,9 +8,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/redwingtally/redwingtally/feed"
 	"github.com/redwingtally/redwingtally/internal/standin"
 	"github.com/redwingtally/redwingtally/ownership"
 	"github.com/redwingtally/redwingtally/platform"
+	"github.com/redwingtally/redwingtally/ratelimit"
 )
 
 // restorable is a store that can be restored, with hosts and a client.
@@ -207,3 +209,28 @@
 	putDocument(t, r.client, stale)
 	c.Check(follower.superseded(context.Background(), present), qt.IsTrue)
 }
+
+// A host watches the store itself while its coordinator has objects of an earlier era, whose changes would count as old.
+func TestHostWatchesWhileItsCoordinatorIsInAnEarlierEra(t *testing.T) {
+	c := qt.New(t)
+	r := startRestorable(t)
+	m := r.hosts[0].Member
+	r.platform.Restore(r.platform.Copy())
+	_, _, err := m.options.Store().List(context.Background(), platform.KindConfiguration)
+	c.Assert(err, qt.IsNil)
+	c.Check(m.eraBehind(feed.Versions{"servers": platform.NewVersion(1, 900)}), qt.IsTrue)
+	c.Check(m.eraBehind(feed.Versions{"servers": platform.NewVersion(2, 1)}), qt.IsFalse)
+	c.Check(m.eraBehind(nil), qt.IsFalse)
+}
+
+// A report that names no version of rate limits waits for other changes, so that an earlier build does not report without end.
+func TestReportsOfEarlierBuildsWait(t *testing.T) {
+	c := qt.New(t)
+	l := newTestLeader()
+	l.process = "own"
+	limits := l.member.options.RateLimits
+	limits.Observe(time.Now(), ratelimit.Limit{Target: limitedTarget, PerSecond: 3, Stated: true})
+	c.Check(l.hasRateLimitsFor(&Report{}), qt.IsFalse)
+	c.Check(l.hasRateLimitsFor(&Report{KnownRateLimits: RateLimitsVersion{Process: "own"}}), qt.IsTrue)
+	c.Check(l.hasRateLimitsFor(&Report{KnownRateLimits: RateLimitsVersion{Process: "own", Number: 1}}), qt.IsFalse)
+}
