--- a/coordination/follower.go
+++ b/coordination/follower.go
@@ -25,7 +25,7 @@
 }
 
 // readFirstDocument is readStaleDocument, which is safe because a write that follows is conditional on the version, unless
-// the store has come back from a copy: a document of before may have the version of another one now.
+// the store has come back from a copy: a document from before the restore may have the same version as a different one now.
 func (m *Member) readFirstDocument(ctx context.Context) (*ownership.Document, platform.Version, bool) {
 	d, version, ok := m.readStaleDocument(ctx)
 	if ok && m.options.Store().Era() > platform.FirstEra {
--- a/coordination/restored.go
+++ b/coordination/restored.go
@@ -13,10 +13,10 @@
 	"github.com/redwingtally/redwingtally/platform"
 )
 
-// This file holds what happens when the store comes back from a copy that is some seconds old. The copy may lack the last
-// takeovers and moves of keys, so that its document must not be trusted: a coordinator whose lease is valid writes its own
-// document again, and a process that takes over looks for the newest document among the hosts that it knows. If
-// it finds none, it waits until no target can hold keys that the copy does not tell of.
+// This file handles a store that is restored from a copy some seconds old. The copy may lack the latest takeovers and moves
+// of keys, so its document is not authoritative: a coordinator with a valid lease writes its own document again, and a
+// process that takes over asks other hosts for the newest document. If none is found, it waits until every grant that the
+// copy may lack has expired.
 
 // Results of adoptCopy.
 var (
@@ -26,9 +26,9 @@
 )
 
 const (
-	// verifyInterval is the time between two checks whether all hosts still follow the coordinator of before.
+	// verifyInterval is the time between two checks whether all hosts still follow this coordinator.
 	verifyInterval = 100 * time.Millisecond
-	// verifyGrace is how long that coordinator waits for all hosts. Then a majority suffices: hosts that are lost never report.
+	// verifyGrace is how long it waits for all hosts. After that a majority suffices, because lost hosts never report.
 	verifyGrace = 2 * time.Second
 )
 
@@ -44,7 +44,7 @@
 // A NewestRequest asks a host for the newest document that it knows.
 type NewestRequest struct{}
 
-// A NewestResponse is what a host knows of the coordinators of before.
+// A NewestResponse is what a host knows about earlier coordinators.
 type NewestResponse struct {
 	// Host is the answering host.
 	Host string `json:"host"`
@@ -138,7 +138,7 @@
 	stopped     bool                // no earlier coordinator can send orders that targets accept
 	answers     map[string]uint64   // highest terms that hosts know which answered that they do not coordinate, by host
 	term        uint64              // of the coordinator whose own document is taken over after a restore; 0 if it is that of the copy
-	coordinator *ownership.Document // of a process that coordinates, and from which nothing is taken over
+	coordinator *ownership.Document // of a process that coordinates, and which this process must follow instead of taking over
 }
 
 // takeOverRestored returns what to start a term with when the store has come back from a copy with the document old,
@@ -211,15 +211,15 @@
 	takenOverTerm uint64              // term of the coordinator whose own document was taken over; 0 if it was the store's
 	answers       map[string]uint64   // of takeover
 	hostsBefore   int                 // number of hosts that this one knew when the term started
-	ownersSettled bool                // no earlier coordinator that the document does not tell of can still send orders
+	ownersSettled bool                // no coordinator that the document is missing can still send orders
 	reporters     map[string]reporter // by host
-	restoredIn    uint64              // newest era in which this term has met a copy
-	restoredAt    time.Time           // when it has met it
+	restoredIn    uint64              // newest era whose restore this term has noticed
+	restoredAt    time.Time           // when it noticed that restore
 }
 
-// settleOwners ends the wait for coordinators of before that the document does not tell of, once as many hosts as there
-// were report to this one or have answered it: a process that follows sends no orders, and the earlier processes of these
-// hosts have ended. If the document taken over is that of the last term that any of them knows, it names all owners.
+// settleOwners ends the wait for coordinators that the document is missing, once as many hosts as before the restore report
+// to this one or have answered it: a process that follows sends no orders, and the earlier processes of these hosts
+// have ended. If the document taken over is that of the last term that any of them knows, it names all owners.
 // Otherwise earlier grants still have to run out. The caller holds l.mu.
 func (l *leader) settleOwners(t time.Time) {
 	if !l.core.Document().Incomplete || l.ownersSettled {
--- a/coordination/restored_test.go
+++ b/coordination/restored_test.go
@@ -55,7 +55,7 @@
 	return d
 }
 
-// A coordinator that all hosts follow writes its document again, with terms and tokens above those of before, when the
+// A coordinator that all hosts follow writes its document again, with higher terms and tokens, when the
 // store comes back from a copy that has an older one, or none.
 func TestCoordinatorWritesItsDocumentAgainAfterARestore(t *testing.T) {
 	for _, withDocument := range []bool{true, false} {
@@ -134,7 +134,7 @@
 	}
 }
 
-// A process that takes over from a copy asks the coordinator of before for its document. Without an answer the document stays
+// A process that takes over from a copy asks the earlier coordinator for its document. Without an answer the document stays
 // incomplete until all hosts follow, and nothing is granted before.
 func TestTakeoverFromACopy(t *testing.T) {
 	tests := []struct {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -34,8 +34,8 @@
 	// removal, draining targets not counted.
 	massRemovalMinCount = 3
 	massRemovalMinShare = 0.5
-	// restoredDoubt is how long after the platform was restored from a copy an entry is not used whose removal had been
-	// seen before. The platform removes the entry of a target that has ended after three heartbeats of up to 1.5 s.
+	// restoredDoubt is how long after a restore an entry is not used if its removal was seen before the restore. The
+	// platform removes the entry of a target that has ended after three heartbeats of up to 1.5 s.
 	restoredDoubt = 5 * time.Second
 	// departureRetention is how long removals are remembered. Copies are seconds old.
 	departureRetention = time.Minute
@@ -48,7 +48,7 @@
 	drainTime           time.Duration // how long a draining target may still receive requests
 	platformUnavailable bool          // the platform does not answer
 	platformRecoveredAt time.Time     // when the last outage of the platform ended
-	platformRestoredAt  time.Time     // when the platform last came back from a copy
+	platformRestoredAt  time.Time     // when the platform was last restored from a copy
 	departures          map[string]departure
 	version             uint64
 }
@@ -87,9 +87,8 @@
 	}
 }
 
-// PlatformRestored records that the platform has come back from a copy that is some seconds old. Entries
-// that it lacks may only not have been written again, as after an outage, and those that it has may be of targets
-// that have left since.
+// PlatformRestored records that the platform was restored from a copy some seconds old. Entries that the copy lacks
+// may still be written again, as after an outage, and entries that it has may be of targets that have left since.
 func (d *Directory) PlatformRestored(now time.Time) {
 	d.platformUnavailable = false
 	d.platformRecoveredAt, d.platformRestoredAt = now, now
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// replaceHosts ends the background work of all hosts and starts as many others, which know nothing of before.
+// replaceHosts ends the background work of all hosts and starts as many others without any state.
 func (h *harness) replaceHosts() {
 	n := len(h.edges)
 	for _, cancel := range h.cancels {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -116,11 +116,16 @@
 	return max(pause, time.Duration(e.member.State().Hosts)*watchPausePerHost)
 }
 
-// newStoreClient returns a client of the store that logs when the store has come back from a copy.
+// newStoreClient returns a client of the store that logs when the store was restored from a copy and makes the
+// coordinator check its document.
 func (e *Edge) newStoreClient(address netip.AddrPort) *platform.Client {
 	client := platform.NewClient(address)
 	client.OnEraChange(func(before, now uint64) {
-		e.log.Warn("store: Restored from a copy.", "era_before", before, "era", now, "versions", e.feed.Versions())
+		versions := map[string]string{}
+		for kind, version := range e.feed.Versions() {
+			versions[kind] = version.String()
+		}
+		e.log.Warn("store: Restored from a copy.", "era_before", before, "era", now, "versions", versions)
 		e.member.EraChanged()
 	})
 	return client
@@ -213,8 +218,8 @@
 	e.signalInitialState()
 }
 
-// recordEra tells the directory when changes are the first of a later era, that is, when the store has
-// come back from a copy.
+// recordEra tells the directory when changes are the first of a later era, that is, when the store was
+// restored from a copy.
 func (e *Edge) recordEra(changes []platform.Object) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/ownership/document.go
+++ b/ownership/document.go
@@ -79,8 +79,8 @@
 	// Era is the era of the store in which the document was written. A document of an earlier era than the store's may
 	// lack changes that a later one had: the store has come back from a copy.
 	Era uint64 `json:"era,omitempty"`
-	// Incomplete reports whether targets may hold keys that the document does not tell of, as it was taken over from a copy and
-	// grants of before may still be valid.
+	// Incomplete reports whether targets may hold keys that the document does not list: it was taken over from a restored
+	// copy, and grants that the copy lacks may still be valid.
 	Incomplete bool `json:"incomplete,omitempty"`
 	// Services maps each divided service to its ranges, ordered by first key.
 	Services map[string][]Range `json:"services"`
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -81,8 +81,8 @@
 	services     map[string]*service
 	incarnations map[incarnationKey]*incarnationState
 	version      uint64
-	// unknownOwnersUntil is until when targets that an incomplete document does not name may hold keys. Until then nothing
-	// is granted.
+	// unknownOwnersUntil is when the last grant that an incomplete document may be missing has expired. Nothing is granted
+	// before.
 	unknownOwnersUntil time.Time
 	// restoredIn is the newest era for which Restored was called.
 	restoredIn uint64
@@ -194,8 +194,8 @@
 	}
 }
 
-// UnknownCoordinatorsStopped records that no coordinator that the document does not tell of sends orders any more. Unless the
-// document is surely the newest, targets may hold keys by the last of these orders.
+// UnknownCoordinatorsStopped records that coordinators that the document is missing send no more orders. Unless the document
+// is known to be the newest, grants of theirs may remain valid for one hold.
 func (c *Core) UnknownCoordinatorsStopped(now time.Time, newest bool) {
 	until := now
 	if !newest {
@@ -204,9 +204,9 @@
 	c.unknownOwnersUntil = earlier(c.unknownOwnersUntil, until)
 }
 
-// Restored replaces the document to write, or that is being written, after the store has come back from a copy, in a new era. Its term
-// and its new tokens are above all that a coordinator may have used that took over from this one and whose document
-// the copy lacks. It returns the document if none was being written before, and nil otherwise.
+// Restored proposes the document again, or replaces the one that is being written, after the store was restored from a copy
+// in a new era. Its term and new tokens are above those of any coordinator that may have taken over in the meantime and
+// whose document the copy lacks. It returns the document if none was being written, and nil otherwise.
 func (c *Core) Restored(era uint64) *Document {
 	if era <= c.restoredIn {
 		return nil
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -80,8 +80,8 @@
 	c.Check(float64(held) > 0.3*float64(checks), qt.IsTrue, qt.Commentf("%d of %d", held, checks))
 }
 
-// TestNoTwoOwnersAfterRestores is TestNoTwoOwners with a store that comes back from copies of up to twelve seconds, some of them
-// of before an earlier restore.
+// TestNoTwoOwnersAfterRestores is TestNoTwoOwners with a store that is restored from copies up to twelve seconds old, some of them from
+// before an earlier restore.
 func TestNoTwoOwnersAfterRestores(t *testing.T) {
 	c := qt.New(t)
 	held, checks, restores := 0, 0, 0
--- a/ownership/restored_test.go
+++ b/ownership/restored_test.go
@@ -49,8 +49,8 @@
 	return time.Minute
 }
 
-// Nothing is granted from an incomplete document while targets may hold keys that it does not tell of, and a successor
-// finds it marked until then.
+// Nothing is granted from an incomplete document while targets may hold keys that it does not list, and it stays
+// marked as incomplete until then.
 func TestIncompleteDocumentGrantsNothing(t *testing.T) {
 	tests := []struct {
 		name        string
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -214,7 +214,7 @@
 }
 
 // adoptCopy is what a coordinator does that finds another document in the store than it wrote. It reports whether
-// it goes on, on the version of the copy.
+// the coordinator continues with the version of the copy.
 func (s *simulation) adoptCopy(p *process) bool {
 	if s.era == p.era || s.document.Era >= s.era || !s.now.Before(p.leaseConfirmedAt.Add(testLease)) {
 		p.end()
--- a/scheduler/ratelimit_test.go
+++ b/scheduler/ratelimit_test.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// A long wait for permits does not reject requests for ever: a rejected request wants a permit too.
+// A long wait for permits does not cause rejections indefinitely, because a rejected request also wants a permit.
 func TestRejectionsForLackOfPermitsEnd(t *testing.T) {
 	c := qt.New(t)
 	s := limitedScheduler(1, 1, "t0")
