--- a/edge/ratelimit_test.go
+++ b/edge/ratelimit_test.go
@@ -117,13 +117,13 @@
 			}
 			began := time.Now()
 			stop := h.callers(20*time.Millisecond, request)
-			time.Sleep(limitSettleTime)
+			time.Sleep(limitSettleTime) // hosts apply the limit; callers press meanwhile
 			if test.stop {
 				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 				c.Check(h.edges[0].Shutdown(ctx), qt.IsNil)
 				cancel()
 			}
-			time.Sleep(limitWindow + time.Second)
+			time.Sleep(limitWindow + time.Second) // at least one full window is checked
 			statuses := stop()
 			for _, s := range servers[:test.limited] {
 				arrivals := s.Arrivals()
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -53,7 +53,7 @@
 	h.eventually("second configuration", func() bool { return h.inForce("/second/1", "/first/1") })
 
 	h.platform.Restore(kept)
-	for end := time.Now().Add(applyTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(applyTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) { // samples running hosts
 		for host := range h.edges {
 			c.Assert(h.do(call{host: host, path: "/first/1"}).status, qt.Equals, http.StatusNotFound)
 		}
@@ -63,7 +63,7 @@
 	changed := time.Now()
 	h.eventually("third configuration", func() bool { return h.inForce("/third/1", "/second/1") })
 	c.Check(time.Since(changed) <= applyTime, qt.IsTrue, qt.Commentf("in force after %s", time.Since(changed)))
-	time.Sleep(time.Until(changed.Add(applyTime)))
+	time.Sleep(time.Until(changed.Add(applyTime))) // a draining target may receive requests until then
 	before := len(leaving.Arrivals())
 	for i := range 40 {
 		h.do(call{host: i % 2, path: "/third/1"})
@@ -90,7 +90,7 @@
 	counts := func(n int) bool { return h.edges[0].TargetCount("stock") == n && h.edges[1].TargetCount("stock") == n }
 	h.eventually("both targets on both hosts", func() bool { return counts(2) })
 	h.platform.Restore(kept)
-	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) { // samples running hosts
 		c.Assert(counts(2), qt.IsTrue)
 	}
 	h.eventually("one target on both hosts", func() bool { return counts(1) })
@@ -127,8 +127,8 @@
 	return ""
 }
 
-// Keys keep one owner at a time, with tokens that grow, after the store was restored from a copy that is older than
-// the last moves, whoever coordinates then.
+// After the store is restored from a copy older than the latest moves, each key still has at most one owner and its
+// fencing token never decreases, whether or not the coordinator survives.
 func TestKeysKeepOneOwnerAfterARestoredStore(t *testing.T) {
 	tests := []struct {
 		name string
