Treat the process of a target that restarts in place as a holder of its keys

Callers saw: two targets worked on the same keys (OWNER) for up to three seconds after a target had crashed and started again under its name. Cause: a grant names its target by name and address. A process that starts again has both and accepts the grants, which are repeated every 60 ms, before its entry shows the new start. The entry then counted as proof that the earlier process and what it held were gone, and the keys were given on at once. Change: a restart at the same address ends the earlier start but clears nothing; the process is asked to release the keys, unless it gets them again itself, which needs no wait. The coordinator logs why it takes the process of a target for ended, and how long it may hold keys.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -252,7 +252,10 @@
 		for name, ts := range targets.ByService {
 			l.core.SetTargets(t, name, ts)
 		}
-		l.core.UpdateLiveness(targets.All)
+		for _, ended := range l.core.UpdateLiveness(t, targets.All) {
+			l.member.options.Log.Info("coordination: Process of a target has ended.", "target", ended.Name, "born", ended.StartedAt.UnixMilli(),
+				"reason", ended.Reason, "may_hold_ms", max(0, ended.MayHoldUntil.Sub(t)).Milliseconds())
+		}
 	}
 	l.updateRateLimits(targets)
 	l.settleOwners(t)
--- a/ownership/orders.go
+++ b/ownership/orders.go
@@ -75,7 +75,7 @@
 // rangeOrders appends the orders that are due for one range to out.
 func (c *Core) rangeOrders(now time.Time, out []Order, service string, st *rangeState) []Order {
 	for _, f := range st.formers {
-		if !f.released && !f.orderPending && !now.Before(f.nextRelease) && !c.cleared(now, f) {
+		if !f.released && !f.orderPending && !now.Before(f.nextRelease) && !f.sameProcess(st.Owner) && !c.cleared(now, f) {
 			f.orderPending = true
 			out = append(out, Order{Kind: ReleaseKeys, Service: service, To: f.Incarnation, Span: st.KeyRange, Fence: f.fence, sent: now})
 		}
@@ -83,7 +83,7 @@
 	if now.Before(c.unknownOwnersUntil) {
 		return out
 	}
-	if st.Owner.Name == "" || st.orderPending || st.moving || st.needsNewFence || now.Before(st.nextGrant) || c.incarnation(st.Owner).ended || !c.formersCleared(now, st) {
+	if st.Owner.Name == "" || st.orderPending || st.moving || st.needsNewFence || now.Before(st.nextGrant) || c.incarnation(st.Owner).over() || !c.formersCleared(now, st) {
 		return out
 	}
 	st.orderPending, st.grantSentAt = true, now
@@ -96,13 +96,22 @@
 // formersCleared reports whether no former owner can still hold the keys of a range.
 func (c *Core) formersCleared(now time.Time, st *rangeState) bool {
 	for _, f := range st.formers {
-		if !c.cleared(now, f) {
+		if !f.sameProcess(st.Owner) && !c.cleared(now, f) {
 			return false
 		}
 	}
 	return true
 }
 
+// sameProcess reports whether f names an earlier start of the process of owner. What that process holds by grants to the
+// earlier start does not keep it from being granted the same keys.
+func (f *formerState) sameProcess(owner Incarnation) bool {
+	return f.Name == owner.Name && f.Address == owner.Address
+}
+
+// over reports whether the process of an incarnation has ended.
+func (v *incarnationState) over() bool { return v.ended || v.restarted }
+
 // cleared reports whether a former owner can no longer hold its keys: its process
 // has ended, its longest possible hold has run out, or it has released them and
 // no earlier grant can reach it any more.
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -18,9 +18,13 @@
 //     read the move while the old owner is still being renewed.
 //   - The new owner is granted the keys once each former owner meets one of these
 //     conditions: it has answered a release and no unanswered grant to it can
-//     still take effect; its longest possible hold has run out; or another
-//     process has its name or address. A refused connection proves nothing,
-//     because partitions refuse connections too.
+//     still take effect; its longest possible hold has run out; or its process
+//     has ended, as another target has its address, or it has started again at
+//     another one. A refused connection proves nothing, because partitions refuse
+//     connections too.
+//   - A target that has started again under its name and address proves nothing
+//     either: the new process accepts the grants that are addressed to the earlier
+//     one. It is asked to release the keys, and has no memory of fencing tokens.
 //   - A new coordinator first grants each range to its present owner with a higher
 //     fencing token, and moves it only afterwards. A release alone does not prevent
 //     the owner from accepting a later grant of an earlier coordinator. An owner
@@ -86,6 +90,8 @@
 	unknownOwnersUntil time.Time
 	// restoredIn is the newest era for which Restored was called.
 	restoredIn uint64
+	// predecessorsEnd is when earlier coordinators have sent their last orders.
+	predecessorsEnd time.Time
 }
 
 // service is the coordinator's state of one divided service.
@@ -132,7 +138,8 @@
 
 // incarnationState is the liveness of one incarnation of a target.
 type incarnationState struct {
-	ended           bool      // the process has ended
+	ended           bool      // the process has ended, and no other accepts orders that are addressed to it
+	restarted       bool      // the process has ended, and a later one accepts orders that are addressed to it
 	unansweredSince time.Time // first of the consecutive unanswered orders; zero if the last one was answered
 	lastUnanswered  time.Time // last of the consecutive unanswered orders
 }
@@ -168,6 +175,10 @@
 	c.document = d
 	c.version = 1
 	hold := c.holdEnd(now)
+	c.predecessorsEnd = now
+	if !predecessorsStopped {
+		c.predecessorsEnd = now.Add(c.options.LeaseTime)
+	}
 	if d.Incomplete {
 		c.unknownOwnersUntil = hold.Add(c.options.LeaseTime)
 	}
@@ -271,10 +282,19 @@
 	c.service(name).rateLimits = limits
 }
 
+// An EndedTarget is an owner or former owner of keys whose process has ended.
+type EndedTarget struct {
+	Incarnation
+	// Reason says how the end was noticed.
+	Reason string
+	// MayHoldUntil is the latest time at which a process at its address may still hold keys; zero if none can.
+	MayHoldUntil time.Time
+}
+
 // UpdateLiveness updates the liveness of owners and former owners from the listed
-// targets of all services. An incarnation has ended when a target that started
-// later has its name or its address.
-func (c *Core) UpdateLiveness(targets []platform.Target) {
+// targets of all services, and returns those whose process is newly found to have ended. This is
+// the case when a target that started later has its name or its address.
+func (c *Core) UpdateLiveness(now time.Time, targets []platform.Target) []EndedTarget {
 	byName, byAddress := map[string]platform.Target{}, map[netip.AddrPort]platform.Target{}
 	for _, t := range targets {
 		byName[t.Name] = t
@@ -282,22 +302,34 @@
 			byAddress[t.Address] = t
 		}
 	}
-	endSuperseded := func(i Incarnation) {
-		if byName[i.Name].StartedAt.After(i.StartedAt) || byAddress[i.Address].StartedAt.After(i.StartedAt) {
+	var out []EndedTarget
+	update := func(i Incarnation) {
+		v := c.incarnation(i)
+		named, at := byName[i.Name], byAddress[i.Address]
+		switch {
+		case v.ended:
+		case at.StartedAt.After(i.StartedAt) && at.Name != i.Name:
+			c.markEnded(i)
+			out = append(out, EndedTarget{Incarnation: i, Reason: "other name"})
+		case named.StartedAt.After(i.StartedAt) && named.Address != i.Address:
 			c.markEnded(i)
+			out = append(out, EndedTarget{Incarnation: i, Reason: "other address"})
+		case named.StartedAt.After(i.StartedAt) && !v.restarted:
+			out = append(out, EndedTarget{Incarnation: i, Reason: "restarted", MayHoldUntil: c.markRestarted(now, i)})
 		}
 	}
-	for _, s := range c.services {
-		for _, st := range s.ranges {
-			endSuperseded(st.Owner)
+	for _, name := range c.serviceNames() {
+		for _, st := range c.services[name].ranges {
+			update(st.Owner)
 			for _, f := range st.formers {
-				endSuperseded(f.Incarnation)
+				update(f.Incarnation)
 			}
 		}
 	}
+	return out
 }
 
-// markEnded records that the process of an incarnation has ended.
+// markEnded records that the process of an incarnation has ended and that no other accepts orders that are addressed to it.
 func (c *Core) markEnded(i Incarnation) {
 	if v := c.incarnation(i); !v.ended {
 		v.ended = true
@@ -305,10 +337,47 @@
 	}
 }
 
+// markRestarted records that another process runs under the name and at the address of an incarnation. It may have accepted
+// grants that were addressed to the incarnation. It returns the time until which the process may hold keys.
+func (c *Core) markRestarted(now time.Time, i Incarnation) time.Time {
+	c.incarnation(i).restarted = true
+	c.version++
+	var until time.Time
+	lastGrantEnds := c.holdEnd(c.predecessorsEnd)
+	predecessorsRun, grantInTransit := now.Before(c.predecessorsEnd), now.Before(lastGrantEnds)
+	for _, s := range c.services {
+		for _, st := range s.ranges {
+			if st.Owner.SameAs(i) {
+				if st.fenced = st.fenced && !predecessorsRun; grantInTransit {
+					st.possiblyHeldUntil = later(st.possiblyHeldUntil, lastGrantEnds)
+				}
+				if grantInTransit && !predecessorsRun {
+					st.staleGrantUntil = later(st.staleGrantUntil, lastGrantEnds)
+				}
+				until = later(until, st.possiblyHeldUntil)
+			}
+			for _, f := range st.formers {
+				if !f.SameAs(i) {
+					continue
+				}
+				if f.fenced = f.fenced && !predecessorsRun; grantInTransit {
+					f.possiblyHeldUntil = later(f.possiblyHeldUntil, lastGrantEnds)
+				}
+				if grantInTransit && !predecessorsRun {
+					f.unansweredUntil = later(f.unansweredUntil, lastGrantEnds)
+				}
+				until = later(until, f.possiblyHeldUntil)
+			}
+		}
+	}
+	return until
+}
+
 // PredecessorsStopped records that the earlier coordinators send no more orders that
 // targets accept. Their last orders may still be in transit.
 func (c *Core) PredecessorsStopped(now time.Time) {
 	hold := c.holdEnd(now)
+	c.predecessorsEnd = earlier(c.predecessorsEnd, now)
 	for _, s := range c.services {
 		for _, st := range s.ranges {
 			if !st.fenced {
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -184,7 +184,7 @@
 func (c *Core) unavailable(now time.Time, i Incarnation) bool {
 	v := c.incarnation(i)
 	unresponsive := !v.unansweredSince.IsZero() && now.Sub(v.unansweredSince) >= unresponsiveAfter
-	return v.ended || unresponsive && now.Sub(v.lastUnanswered) < targetRetryDelay
+	return v.over() || unresponsive && now.Sub(v.lastUnanswered) < targetRetryDelay
 }
 
 // mostUnresponsive reports whether most targets of a service leave orders
@@ -192,7 +192,7 @@
 func (c *Core) mostUnresponsive(now time.Time, s *service) bool {
 	unresponsive := 0
 	for _, t := range s.targets {
-		if v := c.incarnation(IncarnationOf(t)); !v.ended && c.unavailable(now, IncarnationOf(t)) {
+		if v := c.incarnation(IncarnationOf(t)); !v.over() && c.unavailable(now, IncarnationOf(t)) {
 			unresponsive++
 		}
 	}
@@ -276,6 +276,12 @@
 func (s *service) evacuate(ranges []*rangeState, candidates []*candidate) []Move {
 	var moves []Move
 	for _, st := range ranges {
+		if c := restartedOwner(st, candidates); c != nil {
+			// It need not wait for a release, nor for unanswered grants to its earlier start.
+			c.utilisation += s.load.rateOf(st.KeyRange) * s.processingTime() / c.slots
+			moves = append(moves, Move{Service: s.name, Span: st.KeyRange, From: st.Owner, To: c.incarnation, Reason: "owner_restarted"})
+			continue
+		}
 		for _, piece := range s.splitByLoad(st.KeyRange, min(maxEvacuationPieces, len(candidates))) {
 			c := leastUtilised(candidates)
 			c.utilisation += max(s.load.rateOf(piece), float64(width(piece))*idleKeyRate) * s.processingTime() / c.slots
@@ -285,6 +291,16 @@
 	return moves
 }
 
+// restartedOwner returns the candidate that is the owner of a range after a restart in place, or nil if there is none.
+func restartedOwner(st *rangeState, candidates []*candidate) *candidate {
+	for _, c := range candidates {
+		if c.incarnation.Name == st.Owner.Name && c.incarnation.Address == st.Owner.Address && !c.incarnation.SameAs(st.Owner) {
+			return c
+		}
+	}
+	return nil
+}
+
 // idleKeyRate is the minimum rate, in requests per second, that evacuate assumes for
 // each key, so that ranges without requests are spread among targets.
 const idleKeyRate = 1e-5
--- a/ownership/view.go
+++ b/ownership/view.go
@@ -30,7 +30,7 @@
 	}
 	out := make([]Holding, 0, len(s.ranges))
 	for _, st := range s.ranges {
-		out = appendHolding(out, Holding{KeyRange: st.KeyRange, Target: st.Owner.Name, Held: st.granted && !c.incarnation(st.Owner).ended})
+		out = appendHolding(out, Holding{KeyRange: st.KeyRange, Target: st.Owner.Name, Held: st.granted && !c.incarnation(st.Owner).over()})
 	}
 	return out
 }
