Expect that a target that leaves orders unanswered has forgotten its tokens

Callers would see: two targets work on the same keys, if a target restarts while a coordinator that was replaced still runs. Cause: a former owner counted as protected from earlier coordinators once it had answered a grant of the present one. A process that starts again remembers no tokens and accepts the grants of the earlier coordinator, and its release proves nothing. Change: an order that is not sent or not answered withdraws that protection until the target answers a grant, or the earlier coordinator has stopped or its lease is over. TestRestartedTargetsForgetTokens fails without it (guard ow-restart-tokens).

--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -226,6 +226,8 @@
 	{"ow-restart-again", "ownership/plan.go", "if c := restartedOwner(st, candidates); c != nil {", "if c := restartedOwner(st, candidates); c != nil && false {", "./ownership"},
 	{"ow-restart-wait", "ownership/orders.go", "if !f.sameProcess(st.Owner) && !c.cleared(now, f) {", "if !c.cleared(now, f) {", "./ownership"},
 	{"ow-restart-over", "ownership/orders.go", "return v.ended || v.restarted", "return v.ended", "./ownership"},
+	{"ow-restart-tokens", "ownership/orders.go", `	c.expectRestart(now, to)
+`, "", "./ownership"},
 	{"ow-restart-fenced", "ownership/ownership.go", "if f.fenced = f.fenced && !predecessorsRun; grantInTransit {", "if grantInTransit {", "./ownership"},
 	{"ow-vacant", "ownership/orders.go", "|| !c.formersCleared(now, st) {", "{", "./ownership"},
 	{"ow-moving", "ownership/orders.go", "st.orderPending || st.moving || st.needsNewFence", "st.orderPending || st.needsNewFence", "./ownership"},
--- a/ownership/orders.go
+++ b/ownership/orders.go
@@ -165,6 +165,7 @@
 		v.unansweredSince = now
 	}
 	v.lastUnanswered = now
+	c.expectRestart(now, to)
 }
 
 // handleGrantResult records the result of a grant that matches the current range.
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -342,6 +342,13 @@
 func (c *Core) markRestarted(now time.Time, i Incarnation) time.Time {
 	c.incarnation(i).restarted = true
 	c.version++
+	return c.expectRestart(now, i)
+}
+
+// expectRestart records that the process of an incarnation may have started again, as it left an order unanswered. A new process
+// has received no fencing token that protects it from earlier coordinators. It returns the time until which a process with its
+// name and address may hold keys.
+func (c *Core) expectRestart(now time.Time, i Incarnation) time.Time {
 	var until time.Time
 	lastGrantEnds := c.holdEnd(c.predecessorsEnd)
 	predecessorsRun, grantInTransit := now.Before(c.predecessorsEnd), now.Before(lastGrantEnds)
--- a/ownership/restart_test.go
+++ b/ownership/restart_test.go
@@ -88,11 +88,14 @@
 	tests := []struct {
 		name    string
 		restart func(tc *testCoordinator)
+		stopped bool // the earlier coordinator stops then
 		least   time.Duration
 	}{
+		{name: "orders fail", restart: func(tc *testCoordinator) { tc.answerOrders(ReleaseKeys, 0, OrderNotSent) }, least: testLease},
 		{name: "the entry shows the restart", restart: func(tc *testCoordinator) {
 			tc.core.UpdateLiveness(tc.now, []platform.Target{restartedTarget(), target(1), target(2)})
 		}, least: testLease},
+		{name: "orders fail, earlier coordinator stopped", restart: func(tc *testCoordinator) { tc.answerOrders(ReleaseKeys, 0, OrderNotSent) }, stopped: true, least: testHold},
 		{name: "no restart", restart: func(*testCoordinator) {}},
 	}
 	for _, test := range tests {
@@ -104,6 +107,9 @@
 			tc.core.SetTargets(tc.now, "stock", leaving)
 			tc.planAndCommit(t)
 			test.restart(tc)
+			if test.stopped {
+				tc.core.PredecessorsStopped(tc.now)
+			}
 			tc.advance(orderRetryDelay)
 			qt.Assert(t, tc.answerOrders(ReleaseKeys, 0, OrderDone) > 0, qt.IsTrue)
 			got := tc.timeToNewGrant()
