--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -36,6 +36,9 @@
 	Advertise netip.AddrPort
 	// ServiceTimeFactor is the factor by which service times are multiplied; 0 means 1.
 	ServiceTimeFactor float64
+	// RegistrationDelay is the time from the start to the first write of the server's entry. Until then the store
+	// may have the entry of an earlier start.
+	RegistrationDelay time.Duration
 }
 
 // ResponseSizeHeader is the header with the size in bytes of the response body that a
@@ -138,6 +141,9 @@
 	return netip.MustParseAddrPort(s.listener.Addr().String())
 }
 
+// Name returns the name of the server.
+func (s *Server) Name() string { return s.options.Name }
+
 func (s *Server) advertised() netip.AddrPort {
 	if s.options.Advertise.IsValid() {
 		return s.options.Advertise
@@ -191,6 +197,11 @@
 // registerLoop writes the entry of the server at every heartbeat until ctx ends.
 func (s *Server) registerLoop(ctx context.Context) {
 	defer close(s.done)
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(s.options.RegistrationDelay):
+	}
 	for sequence := 1; ; sequence++ {
 		s.register(ctx, sequence)
 		select {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -104,6 +104,7 @@
 		s.stopTarget(tg)
 		s.addTarget(tg.service)
 	}},
+	{"restart a target in place", func(s *system, _ *daemon, tg *target, duration time.Duration) { s.restartTarget(tg, duration/3) }},
 }
 
 // drainPeriod is the time from the start of a target's draining to its stop.
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -126,6 +126,26 @@
 	}
 }
 
+// restartTarget stops a target and starts it again under its name and address. Its entry shows the earlier start for up
+// to registrationDelay.
+func (s *system) restartTarget(tg *target, registrationDelay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if tg.stopped {
+		return
+	}
+	tg.stopped = true
+	backend := tg.Address()
+	tg.Stop()
+	s.stoppedRuns = append(s.stoppedRuns, tg.Runs()...)
+	srv, err := standin.StartServer(backend, s.platformAddress, standin.ServerOptions{
+		Name: tg.Name(), Service: tg.service, Keyed: tg.service == keyedService, Slots: 4, Advertise: tg.proxy.address(),
+		RegistrationDelay: registrationDelay,
+	})
+	qt.Assert(s.t, err, qt.IsNil)
+	s.targets = append(s.targets, &target{Server: srv, proxy: tg.proxy, service: tg.service})
+}
+
 // configure writes a configuration with the next version. Its third route has the
 // version in its prefix, so that awaitRecovery can check that it is in force.
 func (s *system) configure() {
