Let no document outlast the tokens that a restarted target has forgotten

Callers would see: two targets work on the same keys after two takeovers in a row. Cause: a document that said that earlier coordinators can renew no grant, or that a former owner is fenced, stayed in force when the target restarted while such a coordinator ran; the next successor cleared the keys after one release. Found in review. Change: OwnersFenced is written only when the earlier coordinators have stopped or their leases are over; a former owner that is no longer fenced is written; the same start of a target is no replacement of itself, so that keys that move back wait for their release again; late answers count for the process at the address. Evidence: TestSuccessorsDoNotTrustForgottenTokens and TestMoveBackWaitsForTheRelease fail without these (guards ow-restart-written, -allfenced, -same). TestDocumentRecordsPendingState expected OwnersFenced at once; it now expects it after the earlier coordinator has stopped, after its lease, and not before. The soak samples which targets hold its keys.

--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -224,11 +224,15 @@
 	{"ow-mayhold", "ownership/orders.go", "if c.incarnation(f.Incarnation).ended || !now.Before(f.possiblyHeldUntil) {", "if c.incarnation(f.Incarnation).ended || !now.Before(f.possiblyHeldUntil.Add(-2*time.Second)) {", "./ownership"},
 	{"ow-restart", "ownership/ownership.go", `named.StartedAt.After(i.StartedAt) && named.Address != i.Address:`, "named.StartedAt.After(i.StartedAt):", "./ownership"},
 	{"ow-restart-again", "ownership/plan.go", "if c := restartedOwner(st, candidates); c != nil {", "if c := restartedOwner(st, candidates); c != nil && false {", "./ownership"},
-	{"ow-restart-wait", "ownership/orders.go", "if !f.sameProcess(st.Owner) && !c.cleared(now, f) {", "if !c.cleared(now, f) {", "./ownership"},
+	{"ow-restart-wait", "ownership/orders.go", "if !f.replacedBy(st.Owner) && !c.cleared(now, f) {", "if !c.cleared(now, f) {", "./ownership"},
+	{"ow-restart-same", "ownership/orders.go", "return f.samePlace(owner) && !f.SameAs(owner)", "return f.samePlace(owner)", "./ownership"},
+	{"ow-restart-written", "ownership/plan.go", "!nowFenced && !c.formersChanged &&", "!nowFenced &&", "./ownership"},
+	{"ow-restart-allfenced", "ownership/plan.go", "if now.Before(c.predecessorsEnd) {", "if false {", "./ownership"},
 	{"ow-restart-over", "ownership/orders.go", "return v.ended || v.restarted", "return v.ended", "./ownership"},
-	{"ow-restart-tokens", "ownership/orders.go", `	c.expectRestart(now, to)
+	{"ow-restart-tokens", "ownership/orders.go", `	c.withdrawFencing(now, to)
+`, "", "./ownership"},
+	{"ow-restart-fenced", "ownership/ownership.go", `					f.fenced = false
 `, "", "./ownership"},
-	{"ow-restart-fenced", "ownership/ownership.go", "if f.fenced = f.fenced && !predecessorsRun; grantInTransit {", "if grantInTransit {", "./ownership"},
 	{"ow-vacant", "ownership/orders.go", "|| !c.formersCleared(now, st) {", "{", "./ownership"},
 	{"ow-moving", "ownership/orders.go", "st.orderPending || st.moving || st.needsNewFence", "st.orderPending || st.needsNewFence", "./ownership"},
 	{"ow-outdated", "ownership/orders.go", `			c.handleStaleGrantResult(now, st, o, result)
@@ -351,8 +355,8 @@
 	{"po-udp", "internal/ports/ports.go", `held, err := net.ListenPacket("udp4", address)`, `held, err := net.ListenPacket("udp4", "127.0.0.1:0")`, "./internal/ports"},
 	{"gr-settle", "grant/acks.go", "if s.pendingRound == 0 || a.Round < s.pendingRound {", "if s.pendingRound == 0 {", "./grant"},
 	{"dp-limit", "dispatch/core.go", "t.limit = min(t.limit, spec.Slots)", "t.limit = spec.Slots", "./dispatch"},
-	{"ow-prop-settled", "ownership/propose.go", "d.OwnersFenced = d.OwnersFenced || !d.Incomplete && c.allFenced()", "d.OwnersFenced = true", "./ownership"},
-	{"ow-settled-stays", "ownership/propose.go", "d.OwnersFenced = d.OwnersFenced || !d.Incomplete && c.allFenced()", "d.OwnersFenced = c.allFenced()", "./ownership"},
+	{"ow-prop-settled", "ownership/propose.go", "d.OwnersFenced = d.OwnersFenced || !d.Incomplete && c.allFenced(now)", "d.OwnersFenced = true", "./ownership"},
+	{"ow-settled-stays", "ownership/propose.go", "d.OwnersFenced = d.OwnersFenced || !d.Incomplete && c.allFenced(now)", "d.OwnersFenced = c.allFenced()", "./ownership"},
 	{"ow-stuck", "ownership/balance.go", "from.exhausted = true\n\t\t\tcontinue", "return moves", "./ownership"},
 	{"ow-fullest", "ownership/balance.go", "case p.rate > highest.rate:", "case false:", "./ownership"},
 	{"ow-min-shift", "ownership/balance.go", ">= minMoveUtilisation", ">= 0", "./ownership"},
--- a/ownership/document.go
+++ b/ownership/document.go
@@ -35,6 +35,11 @@
 	return i.Name == o.Name && i.StartedAt.Equal(o.StartedAt)
 }
 
+// samePlace reports whether i and o have the same name and address, so that the process that runs there accepts the orders to both.
+func (i Incarnation) samePlace(o Incarnation) bool {
+	return i.Name == o.Name && i.Address == o.Address
+}
+
 // A Range is a span of keys and the target that owns it.
 type Range struct {
 	platform.KeyRange
--- a/ownership/orders.go
+++ b/ownership/orders.go
@@ -75,7 +75,7 @@
 // rangeOrders appends the orders that are due for one range to out.
 func (c *Core) rangeOrders(now time.Time, out []Order, service string, st *rangeState) []Order {
 	for _, f := range st.formers {
-		if !f.released && !f.orderPending && !now.Before(f.nextRelease) && !f.sameProcess(st.Owner) && !c.cleared(now, f) {
+		if !f.released && !f.orderPending && !now.Before(f.nextRelease) && !f.replacedBy(st.Owner) && !c.cleared(now, f) {
 			f.orderPending = true
 			out = append(out, Order{Kind: ReleaseKeys, Service: service, To: f.Incarnation, Span: st.KeyRange, Fence: f.fence, sent: now})
 		}
@@ -96,20 +96,20 @@
 // formersCleared reports whether no former owner can still hold the keys of a range.
 func (c *Core) formersCleared(now time.Time, st *rangeState) bool {
 	for _, f := range st.formers {
-		if !f.sameProcess(st.Owner) && !c.cleared(now, f) {
+		if !f.replacedBy(st.Owner) && !c.cleared(now, f) {
 			return false
 		}
 	}
 	return true
 }
 
-// sameProcess reports whether f names an earlier start of the process of owner. What that process holds by grants to the
-// earlier start does not keep it from being granted the same keys.
-func (f *formerState) sameProcess(owner Incarnation) bool {
-	return f.Name == owner.Name && f.Address == owner.Address
+// replacedBy reports whether owner is a later start of f in the same place. What it holds by grants that were addressed to f
+// does not keep it from being granted the same keys.
+func (f *formerState) replacedBy(owner Incarnation) bool {
+	return f.samePlace(owner) && !f.SameAs(owner)
 }
 
-// over reports whether the process of an incarnation has ended.
+// over reports whether the process of an incarnation has ended, with or without another one in its place.
 func (v *incarnationState) over() bool { return v.ended || v.restarted }
 
 // cleared reports whether a former owner can no longer hold its keys: its process
@@ -165,7 +165,7 @@
 		v.unansweredSince = now
 	}
 	v.lastUnanswered = now
-	c.expectRestart(now, to)
+	c.withdrawFencing(now, to)
 }
 
 // handleGrantResult records the result of a grant that matches the current range.
@@ -201,11 +201,11 @@
 		return
 	}
 	until := c.holdEnd(now)
-	if st.Owner.SameAs(o.To) {
+	if st.Owner.samePlace(o.To) {
 		st.possiblyHeldUntil, st.unansweredUntil = later(st.possiblyHeldUntil, until), later(st.unansweredUntil, until)
 	}
 	for _, f := range st.formers {
-		if f.SameAs(o.To) {
+		if f.samePlace(o.To) {
 			f.released = false
 			f.possiblyHeldUntil, f.unansweredUntil = later(f.possiblyHeldUntil, until), later(f.unansweredUntil, until)
 		}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -24,7 +24,11 @@
 //     connections too.
 //   - A target that has started again under its name and address proves nothing
 //     either: the new process accepts the grants that are addressed to the earlier
-//     one. It is asked to release the keys, and has no memory of fencing tokens.
+//     one, and has received no fencing token. Its answer to a release proves
+//     nothing either while an earlier coordinator may send grants. An order that is
+//     not answered therefore withdraws the protection that an answered grant gave.
+//     A restart after the keys have gone to another target is not covered: until the
+//     earlier coordinator has stopped, it may grant them to the restarted one again.
 //   - A new coordinator first grants each range to its present owner with a higher
 //     fencing token, and moves it only afterwards. A release alone does not prevent
 //     the owner from accepting a later grant of an earlier coordinator. An owner
@@ -92,6 +96,8 @@
 	restoredIn uint64
 	// predecessorsEnd is when earlier coordinators have sent their last orders.
 	predecessorsEnd time.Time
+	// formersChanged reports whether the document says of a former owner that it is fenced, and it no longer is.
+	formersChanged bool
 }
 
 // service is the coordinator's state of one divided service.
@@ -282,12 +288,13 @@
 	c.service(name).rateLimits = limits
 }
 
-// An EndedTarget is an owner or former owner of keys whose process has ended.
+// An EndedTarget is an owner or former owner of keys whose process has ended. Another process may run in its place.
 type EndedTarget struct {
 	Incarnation
 	// Reason says how the end was noticed.
 	Reason string
-	// MayHoldUntil is the latest time at which a process at its address may still hold keys; zero if none can.
+	// MayHoldUntil is the latest time at which the process that has started in its place may hold keys by grants that were
+	// addressed to the ended one; zero if it accepts none.
 	MayHoldUntil time.Time
 }
 
@@ -342,42 +349,55 @@
 func (c *Core) markRestarted(now time.Time, i Incarnation) time.Time {
 	c.incarnation(i).restarted = true
 	c.version++
-	return c.expectRestart(now, i)
+	c.withdrawFencing(now, i)
+	var until time.Time
+	for _, s := range c.services {
+		for _, st := range s.ranges {
+			if st.Owner.SameAs(i) {
+				until = later(until, st.possiblyHeldUntil)
+			}
+			for _, f := range st.formers {
+				if f.SameAs(i) {
+					until = later(until, f.possiblyHeldUntil)
+				}
+			}
+		}
+	}
+	return until
 }
 
-// expectRestart records that the process of an incarnation may have started again, as it left an order unanswered. A new process
-// has received no fencing token that protects it from earlier coordinators. It returns the time until which a process with its
-// name and address may hold keys.
-func (c *Core) expectRestart(now time.Time, i Incarnation) time.Time {
-	var until time.Time
+// withdrawFencing records that the process of an incarnation may have started again. A new process has received no fencing token,
+// so that it accepts grants of earlier coordinators that still run, and those that are in transit when they stop.
+func (c *Core) withdrawFencing(now time.Time, i Incarnation) {
 	lastGrantEnds := c.holdEnd(c.predecessorsEnd)
-	predecessorsRun, grantInTransit := now.Before(c.predecessorsEnd), now.Before(lastGrantEnds)
+	if !now.Before(lastGrantEnds) {
+		return
+	}
+	predecessorsRun := now.Before(c.predecessorsEnd)
 	for _, s := range c.services {
 		for _, st := range s.ranges {
 			if st.Owner.SameAs(i) {
-				if st.fenced = st.fenced && !predecessorsRun; grantInTransit {
-					st.possiblyHeldUntil = later(st.possiblyHeldUntil, lastGrantEnds)
-				}
-				if grantInTransit && !predecessorsRun {
+				st.possiblyHeldUntil = later(st.possiblyHeldUntil, lastGrantEnds)
+				if predecessorsRun {
+					st.fenced = false
+				} else {
 					st.staleGrantUntil = later(st.staleGrantUntil, lastGrantEnds)
 				}
-				until = later(until, st.possiblyHeldUntil)
 			}
 			for _, f := range st.formers {
 				if !f.SameAs(i) {
 					continue
 				}
-				if f.fenced = f.fenced && !predecessorsRun; grantInTransit {
-					f.possiblyHeldUntil = later(f.possiblyHeldUntil, lastGrantEnds)
-				}
-				if grantInTransit && !predecessorsRun {
+				f.possiblyHeldUntil = later(f.possiblyHeldUntil, lastGrantEnds)
+				if predecessorsRun {
+					c.formersChanged = c.formersChanged || f.fenced
+					f.fenced = false
+				} else {
 					f.unansweredUntil = later(f.unansweredUntil, lastGrantEnds)
 				}
-				until = later(until, f.possiblyHeldUntil)
 			}
 		}
 	}
-	return until
 }
 
 // PredecessorsStopped records that the earlier coordinators send no more orders that
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -71,8 +71,8 @@
 			newFence = newFence || st.needsNewFence && !st.orderPending
 		}
 	}
-	nowFenced := !c.document.OwnersFenced && !c.document.Incomplete && c.allFenced()
-	if len(moves) == 0 && !newFence && !nowFenced && !c.nowComplete(now) {
+	nowFenced := !c.document.OwnersFenced && !c.document.Incomplete && c.allFenced(now)
+	if len(moves) == 0 && !newFence && !nowFenced && !c.formersChanged && !c.nowComplete(now) {
 		return nil, nil
 	}
 	c.proposed = c.propose(now, moves)
@@ -85,8 +85,11 @@
 }
 
 // allFenced reports whether there are ranges, all of their owners are fenced and no
-// former owner is left.
-func (c *Core) allFenced() bool {
+// former owner is left. While an earlier coordinator runs, an owner may restart and lose its protection.
+func (c *Core) allFenced(now time.Time) bool {
+	if now.Before(c.predecessorsEnd) {
+		return false
+	}
 	n := 0
 	for _, s := range c.services {
 		for _, st := range s.ranges {
@@ -294,7 +297,7 @@
 // restartedOwner returns the candidate that is the owner of a range after a restart in place, or nil if there is none.
 func restartedOwner(st *rangeState, candidates []*candidate) *candidate {
 	for _, c := range candidates {
-		if c.incarnation.Name == st.Owner.Name && c.incarnation.Address == st.Owner.Address && !c.incarnation.SameAs(st.Owner) {
+		if c.incarnation.samePlace(st.Owner) && !c.incarnation.SameAs(st.Owner) {
 			return c
 		}
 	}
--- a/ownership/propose.go
+++ b/ownership/propose.go
@@ -11,10 +11,11 @@
 // and the new fencing tokens. It marks the moved ranges as moving.
 func (c *Core) propose(now time.Time, moves []Move) *Document {
 	d := c.document.clone()
+	c.formersChanged = false
 	// Earlier coordinators do not know owners assigned later, so OwnersFenced stays true for the rest of the term.
 	d.Fence++
 	d.Incomplete = d.Incomplete && !c.nowComplete(now)
-	d.OwnersFenced = d.OwnersFenced || !d.Incomplete && c.allFenced()
+	d.OwnersFenced = d.OwnersFenced || !d.Incomplete && c.allFenced(now)
 	for _, name := range c.serviceNames() {
 		s := c.services[name]
 		for _, m := range moves {
--- a/ownership/restart_test.go
+++ b/ownership/restart_test.go
@@ -117,3 +117,106 @@
 		})
 	}
 }
+
+// TestFormerOwnerThatRestartsIsNotGrantedItsKeysAgain guards against two owners after a restart that the present coordinator
+// cannot notice: the keys of the target have moved, and a coordinator before, which has neither heard of its successor nor
+// reached the target since, grants them to the restarted process, which remembers no tokens.
+func TestFormerOwnerThatRestartsIsNotGrantedItsKeysAgain(t *testing.T) {
+	for seed := range uint64(4) {
+		s := newSimulation(seed)
+		earlier, present := s.processes[0], s.processes[1]
+		s.takeOver(earlier)
+		for range 30 {
+			s.run(200 * time.Millisecond)
+			s.report(earlier)
+			s.confirmLease(earlier)
+		}
+		restarting := s.targets[0]
+		earlier.storeUnavailable, earlier.partitionedFrom[restarting], restarting.refusesConnections = true, true, true
+		s.run(time.Second)
+		earlier.name = "unreachable" // the request to stop does not arrive
+		s.takeOver(present)
+		earlier.name = "p0"
+		s.run(100 * time.Millisecond)
+		restarting.draining = true
+		s.run(1500 * time.Millisecond)
+		restarting.up, restarting.holds = false, map[uint16]fakeHolding{}
+		s.restartInPlace(restarting)
+		s.run(600 * time.Millisecond)
+		delete(earlier.partitionedFrom, restarting)
+		for range 20 {
+			s.run(200 * time.Millisecond)
+			s.confirmLease(present)
+		}
+		qt.Assert(t, s.violation, qt.Equals, "", qt.Commentf("seed %d", seed))
+	}
+}
+
+// TestSuccessorsDoNotTrustForgottenTokens guards against two owners after a second takeover: what a document says of fenced owners
+// must not outlast a restart while an earlier coordinator runs.
+func TestSuccessorsDoNotTrustForgottenTokens(t *testing.T) {
+	// grantedAfter returns the time since began at which a target other than the first one is granted keys, while all
+	// targets answer.
+	grantedAfter := func(tc *testCoordinator, began time.Time) time.Duration {
+		for tc.now.Sub(began) < time.Minute {
+			for _, o := range tc.core.Orders(tc.now) {
+				if o.Kind == GrantKeys && o.To.Name != target(0).Name {
+					return tc.now.Sub(began)
+				}
+				tc.core.RecordResult(tc.now, o, OrderDone, "token")
+			}
+			tc.advance(50 * time.Millisecond)
+		}
+		return time.Minute
+	}
+	leaving := []platform.Target{target(0), target(1), target(2)}
+	leaving[0].Draining = true
+	t.Run("former owner", func(t *testing.T) {
+		tc := newFencedCoordinator(t)
+		began := tc.now
+		tc.core.SetTargets(tc.now, "stock", leaving)
+		qt.Assert(t, tc.planAndCommit(t).Services["stock"][0].FormerOwners[0].Fenced, qt.IsTrue)
+		tc.advance(orderRetryDelay)
+		tc.answerOrders(ReleaseKeys, 0, OrderNotSent)
+		d := tc.planAndCommit(t)
+		qt.Assert(t, d.Services["stock"][0].FormerOwners[0].Fenced, qt.IsFalse)
+		tc.core.Begin(tc.now, TakeOver(d), false)
+		tc.core.SetTargets(tc.now, "stock", leaving)
+		got := grantedAfter(tc, began)
+		qt.Check(t, got >= testLease, qt.IsTrue, qt.Commentf("%s", got))
+	})
+	t.Run("owner", func(t *testing.T) {
+		tc := newFencedCoordinator(t)
+		began := tc.now
+		for range 30 {
+			tc.advance(orderRetryDelay)
+			tc.answerOrders(GrantKeys, 0, OrderNotSent)
+		}
+		tc.markUnresponsive(IncarnationOf(target(0)))
+		d := tc.planAndCommit(t)
+		qt.Check(t, d.OwnersFenced, qt.IsFalse)
+		tc.core.Begin(tc.now, TakeOver(d), d.OwnersFenced)
+		tc.core.SetTargets(tc.now, "stock", leaving)
+		got := grantedAfter(tc, began)
+		qt.Check(t, got >= testLease, qt.IsTrue, qt.Commentf("%s", got))
+	})
+}
+
+// TestMoveBackWaitsForTheRelease checks that keys that move back to the same start of a target are granted only after the
+// release of the move before has been answered: a release is never refused, and would end the new grant.
+func TestMoveBackWaitsForTheRelease(t *testing.T) {
+	tc := newFencedCoordinator(t)
+	tc.core.PredecessorsStopped(tc.now)
+	tc.planAndCommit(t)
+	move := func(to int) {
+		tc.core.proposed = tc.core.propose(tc.now, []Move{{Service: "stock", Span: platform.KeyRange{Last: keyCount - 1}, To: IncarnationOf(target(to))}})
+		tc.core.ConfirmWrite(tc.now)
+	}
+	move(1)
+	qt.Assert(t, tc.core.Orders(tc.now), qt.HasLen, 1) // a release that is not answered yet
+	tc.advance(time.Second)
+	move(0)
+	for _, o := range tc.core.Orders(tc.now) {
+		qt.Check(t, o.Kind, qt.Equals, ReleaseKeys)
+	}
+}
--- a/ownership/rules_test.go
+++ b/ownership/rules_test.go
@@ -300,6 +300,7 @@
 		c.Check(r.FormerOwners, qt.HasLen, 0, qt.Commentf("cleared former owners are removed"))
 	}
 	s = newFencedCoordinator(t)
+	s.core.PredecessorsStopped(s.now)
 	s.planAndCommit(t)
 	draining := []platform.Target{target(0), target(1), target(2)}
 	draining[0].Draining = true
@@ -308,7 +309,13 @@
 	s.markUnresponsive(IncarnationOf(target(1)))
 	c.Check(s.planAndCommit(t).OwnersFenced, qt.IsTrue, qt.Commentf("OwnersFenced stays true while keys move"))
 	s = newFencedCoordinator(t)
-	c.Check(s.planAndCommit(t).OwnersFenced, qt.IsTrue, qt.Commentf("all owners refuse earlier tokens"))
+	d, _ = s.core.Plan(s.now)
+	c.Check(d, qt.IsNil, qt.Commentf("an owner that restarts accepts earlier tokens"))
+	s.core.PredecessorsStopped(s.now)
+	c.Check(s.planAndCommit(t).OwnersFenced, qt.IsTrue, qt.Commentf("all owners refuse earlier tokens, and none before this one runs"))
+	s = newFencedCoordinator(t)
+	s.advance(testLease)
+	c.Check(s.planAndCommit(t).OwnersFenced, qt.IsTrue, qt.Commentf("the lease of the earlier coordinator is over"))
 }
 
 // TestDrainingOwnerIsFencedFirst checks that the keys of a draining owner that
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -30,17 +30,14 @@
 	version    int       // of the document in the store
 	targets    []*fakeTarget
 	processes  []*process
-	probedKeys []uint16          // keys that are checked
-	fences     map[uint16]uint64 // highest token with which a target held a key, by key
-	holders    map[uint16]string // id of the last incarnation that was granted a key, by key
-	// holderNames holds the names of these incarnations.
-	holderNames map[uint16]string
-	violation   string // description of the first violation; empty if there is none
-	heldChecks  int    // checks in which the key had a holder
-	checks      int
-	era         uint64          // of the store
-	copies      []simulatedCopy // of the store, every copyInterval
-	restores    int
+	probedKeys []uint16                     // keys that are checked
+	fences     map[uint16]map[string]uint64 // highest token with which a target held a key, by key and name
+	violation  string                       // description of the first violation; empty if there is none
+	heldChecks int                          // checks in which the key had a holder
+	checks     int
+	era        uint64          // of the store
+	copies     []simulatedCopy // of the store, every copyInterval
+	restores   int
 	// restoresStore makes the store come back from a copy now and then.
 	restoresStore bool
 	// deliversAbandoned makes orders that were given up during a partition arrive after it, at any age.
@@ -145,13 +142,10 @@
 // newSimulation returns a simulation of four targets and three processes, none of which coordinates.
 func newSimulation(seed uint64) *simulation {
 	s := &simulation{
-		random:  rand.New(rand.NewPCG(seed, 1)),
-		now:     time.Unix(1_000_000, 0),
-		fences:  map[uint16]uint64{},
-		holders: map[uint16]string{},
-
-		holderNames: map[uint16]string{},
-		era:         1,
+		random: rand.New(rand.NewPCG(seed, 1)),
+		now:    time.Unix(1_000_000, 0),
+		fences: map[uint16]map[string]uint64{},
+		era:    1,
 	}
 	for i := range 4 {
 		s.addTarget(fmt.Sprint("t", i))
@@ -426,13 +420,16 @@
 			continue
 		}
 		// A target that starts again remembers no tokens, so that a renewal reaches it until its entry shows the start.
-		sameTarget := s.holderNames[key] == t.incarnation.Name
-		if s.holders[key] != t.id() && o.Fence <= s.fences[key] && !sameTarget {
-			s.violation = fmt.Sprintf("key %d goes to %s with token %d, %s had it with %d", key, t.id(), o.Fence, s.holders[key], s.fences[key])
+		for name, fence := range s.fences[key] {
+			if name != t.incarnation.Name && o.Fence <= fence {
+				s.violation = fmt.Sprintf("key %d goes to %s with token %d, %s had it with %d", key, t.id(), o.Fence, name, fence)
+			}
 		}
 		t.seenFences[key] = o.Fence
-		s.fences[key] = max(s.fences[key], o.Fence)
-		s.holders[key], s.holderNames[key] = t.id(), t.incarnation.Name
+		if s.fences[key] == nil {
+			s.fences[key] = map[string]uint64{}
+		}
+		s.fences[key][t.incarnation.Name] = max(s.fences[key][t.incarnation.Name], o.Fence)
 		if have := t.holds[key]; until.After(have.until) {
 			t.holds[key] = fakeHolding{o.Fence, until}
 		}
@@ -546,11 +543,12 @@
 }
 
 // stopPredecessor makes the coordinator before p stop within two seconds after p
-// took over, in half of the cases in which that one had fenced all owners.
+// took over, in half of the cases. If that one had fenced all owners, no earlier one is left.
 func (s *simulation) stopPredecessor(p *process) {
-	if s.document == nil || !s.document.OwnersFenced || s.random.IntN(2) == 0 {
+	if s.document == nil || s.random.IntN(2) == 0 {
 		return
 	}
+	fenced := s.document.OwnersFenced
 	for _, earlier := range s.processes {
 		if earlier == p || earlier.name != s.document.Coordinator {
 			continue
@@ -558,7 +556,9 @@
 		s.after(time.Duration(s.random.IntN(2000))*time.Millisecond, func() {
 			if !earlier.paused && p.core != nil {
 				earlier.end()
-				p.core.PredecessorsStopped(s.now)
+				if fenced {
+					p.core.PredecessorsStopped(s.now)
+				}
 			}
 		})
 	}
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -128,6 +128,47 @@
 	return violations
 }
 
+// holdingInterval is the time between two checks of which targets hold the keys.
+const holdingInterval = 20 * time.Millisecond
+
+// watchHoldings records a violation when two running targets hold a key at the same time, until ctx ends.
+func (s *system) watchHoldings(ctx context.Context) {
+	tick := time.NewTicker(holdingInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, key := range requestKeys {
+			s.checkHoldings(key)
+		}
+	}
+}
+
+// checkHoldings records a violation if two running targets hold a key.
+func (s *system) checkHoldings(key uint16) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first *target
+	for _, tg := range s.targets {
+		token, ok := tg.Holds(key)
+		if tg.stopped || !ok {
+			continue
+		}
+		if first == nil {
+			first = tg
+			continue
+		}
+		if earlier, still := first.Holds(key); still { // it has held the key while tg was checked
+			s.results.mu.Lock()
+			s.results.violations = append(s.results.violations, fmt.Sprintf("key %d is held by %s with token %d and by %s with token %d", key, first.Name(), earlier, tg.Name(), token))
+			s.results.mu.Unlock()
+		}
+	}
+}
+
 // ownershipViolations returns the changes of a key's owner that were not fenced:
 // the new owner ran a request without a higher fencing token.
 func ownershipViolations(key int, runs []standin.Run) []string {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -146,6 +146,7 @@
 			callers.Go(func() { s.sendRequests(ctx, d, caller) })
 		}
 	}
+	callers.Go(func() { s.watchHoldings(ctx) })
 	end := time.Now().Add(*runLength)
 	busy := map[*daemon]bool{} // a daemon has at most one fault at a time; faults of different daemons overlap
 	var mu sync.Mutex
