Let tests cut one host off from its targets

Cause: a host that loses all targets can only be tested if the connections of one host in a process can hang, be reset or be refused. Change: exchange.Options, platform.NewTargetClient and Edge take the function that opens connections; in the edge tests it can lead through a network of the test (hang, reset, refuse, refuse new connections only).

--- a/coordination/coordination_test.go
+++ b/coordination/coordination_test.go
@@ -43,7 +43,7 @@
 	h := &testHost{feed: feed.New(), crashes: make(chan quarantine.Crash, 10), storeAddress: store}
 	options := Options{
 		Host: name, Process: name + "/1", Address: netip.MustParseAddrPort(ln.Addr().String()),
-		Store: func() *platform.Client { return client }, TargetClient: platform.NewTargetClient(), Log: slog.New(slog.DiscardHandler),
+		Store: func() *platform.Client { return client }, TargetClient: platform.NewTargetClient(nil), Log: slog.New(slog.DiscardHandler),
 		Submit: func(f func()) error { go f(); return nil },
 		CollectReport: func() Report {
 			r := Report{Rates: map[string]float64{"stock": 2}}
--- a/coordination/orders_test.go
+++ b/coordination/orders_test.go
@@ -34,7 +34,7 @@
 // newTestLeader returns a leader of term 1 with a valid lease, no store and no targets.
 func newTestLeader() *leader {
 	l := &leader{
-		member: &Member{options: Options{Log: slog.New(slog.DiscardHandler), TargetClient: platform.NewTargetClient(), RateLimits: ratelimit.NewTable()}, watchGate: newGate()},
+		member: &Member{options: Options{Log: slog.New(slog.DiscardHandler), TargetClient: platform.NewTargetClient(nil), RateLimits: ratelimit.NewTable()}, watchGate: newGate()},
 		core:   ownership.New(ownership.Options{HoldTime: HoldTime, LeaseTime: LeaseTime}), confirmedAt: now(),
 		hosts: map[string]*hostReport{}, afterRestore: afterRestore{reporters: map[string]reporter{}}, confirmNow: make(chan struct{}, 1), crashes: quarantine.New(), changed: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -79,6 +79,7 @@
 	entryServer     *entryServer
 	feed            *feed.Feed
 	rateLimits      *ratelimit.Table
+	dialTarget      platform.DialFunc    // opens the connections to targets
 	permitsWanted   chan struct{}        // a service lacks permits for limited targets
 	ownPermits      *ratelimit.Allocator // used by getPermits while no coordinator gives out permits
 	initialised     chan struct{}        // closed once the configuration and the targets have been received
@@ -114,6 +115,7 @@
 		crashTable:    quarantine.New(),
 		feed:          feed.New(),
 		rateLimits:    ratelimit.NewTable(),
+		dialTarget:    platform.Dial,
 		permitsWanted: make(chan struct{}, 1),
 		ownPermits:    ratelimit.NewAllocator(),
 		initialised:   make(chan struct{}),
@@ -124,7 +126,7 @@
 		Process:       s.Host + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		Address:       s.ControlAddress,
 		Store:         e.store.Load,
-		TargetClient:  platform.NewTargetClient(),
+		TargetClient:  platform.NewTargetClient(e.dial),
 		Log:           e.log,
 		Submit:        e.submit,
 		CollectReport: e.loadReport,
@@ -192,6 +194,11 @@
 	return 0
 }
 
+// dial opens a connection to a target.
+func (e *Edge) dial(ctx context.Context, address netip.AddrPort, timeout time.Duration) (*net.TCPConn, error) {
+	return e.dialTarget(ctx, address, timeout)
+}
+
 func (e *Edge) random() float64 { return rand.Float64() }
 
 // submit runs f on the worker pool, or in a new goroutine when all workers are
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -1,6 +1,10 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"github.com/redwingtally/redwingtally/platform"
+)
 
 // CloseIdle closes all idle connections of callers.
 func (e *Edge) CloseIdle() { e.entryServer.closeIdle(0) }
@@ -9,6 +13,10 @@
 // budget is fully available.
 func (e *Edge) BackdateStart() { e.processStart = e.processStart.Add(-time.Hour) }
 
+// SetDialTarget sets the function that opens connections to targets. It is called
+// before Start.
+func (e *Edge) SetDialTarget(dial platform.DialFunc) { e.dialTarget = dial }
+
 // TargetCount returns the number of targets in the scheduler of a service.
 func (e *Edge) TargetCount(service string) int {
 	s := e.service(service)
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -37,10 +37,13 @@
 	version  uint64
 	requests atomic.Int64
 	cancels  []context.CancelFunc // end the background work of each host
+
+	networked bool             // the hosts reach the targets through networks
+	networks  []*targetNetwork // by host; empty unless networked
 }
 
-// newHarness starts a harness with the given number of hosts.
-func newHarness(tb testing.TB, hosts int) *harness {
+// newHarness starts a harness with the given number of hosts, modified by change.
+func newHarness(tb testing.TB, hosts int, change ...func(*harness)) *harness {
 	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{Era: 1})
 	qt.Assert(tb, err, qt.IsNil)
 	tb.Cleanup(func() {
@@ -49,6 +52,9 @@
 		_ = p.Stop(ctx)
 	})
 	h := &harness{tb: tb, platform: p, store: platform.NewClient(p.Address())}
+	for _, f := range change {
+		f(h)
+	}
 	for i := range hosts {
 		h.addEdge(fmt.Sprint("host-", i))
 	}
@@ -66,6 +72,11 @@
 	e, err := edge.New(s, slog.New(slog.DiscardHandler))
 	qt.Assert(h.tb, err, qt.IsNil)
 	e.BackdateStart()
+	if h.networked {
+		network := newTargetNetwork(h.tb)
+		e.SetDialTarget(network.dial)
+		h.networks = append(h.networks, network)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.tb.Cleanup(cancel)
 	qt.Assert(h.tb, e.Start(ctx), qt.IsNil)
@@ -87,7 +98,7 @@
 	for _, cancel := range h.cancels {
 		cancel()
 	}
-	h.edges, h.settings, h.cancels = nil, nil, nil
+	h.edges, h.settings, h.cancels, h.networks = nil, nil, nil, nil
 	for i := range n {
 		h.addEdge(fmt.Sprint("other-", i))
 	}
--- a/edge/service.go
+++ b/edge/service.go
@@ -179,6 +179,7 @@
 			clients[incarnation] = exchange.New(t.Address, exchange.Options{
 				MaxIdle: idleConnections(spec.MaxConnections, hosts),
 				Spawn:   s.edge.submit,
+				Dial:    s.edge.dial,
 				OnDial:  func() { s.edge.metrics.TargetConnections.WithLabelValues(s.name).Inc() },
 			})
 		}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -34,9 +34,9 @@
 	closed  atomic.Bool
 }
 
-// dial opens a connection. Its errors are ErrNoListener, ErrNotSent and ErrUnreachable.
-func dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
-	tcp, err := platform.Dial(ctx, address, dialTimeout)
+// dial opens a connection with open. Its errors are ErrNoListener, ErrNotSent and ErrUnreachable.
+func dial(ctx context.Context, open platform.DialFunc, address netip.AddrPort) (*conn, error) {
+	tcp, err := open(ctx, address, dialTimeout)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, eris.Wrapf(ErrNoListener, "%s", address)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -88,6 +88,8 @@
 	Spawn func(func()) error
 	// OnDial is called before a request opens a connection. It may be nil.
 	OnDial func()
+	// Dial opens a connection; nil means platform.Dial.
+	Dial platform.DialFunc
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
 }
@@ -98,9 +100,10 @@
 	// Address is the target's address.
 	Address netip.AddrPort
 
-	pool  *idle.Pool[*conn]
-	spawn func(func()) error
-	now   func() time.Time
+	pool     *idle.Pool[*conn]
+	spawn    func(func()) error
+	dialFunc platform.DialFunc
+	now      func() time.Time
 }
 
 // New returns a Client for address. It opens no connection.
@@ -108,16 +111,20 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Dial == nil {
+		o.Dial = platform.Dial
+	}
 	return &Client{
-		Address: address,
-		spawn:   o.Spawn,
-		now:     o.Now,
+		Address:  address,
+		spawn:    o.Spawn,
+		dialFunc: o.Dial,
+		now:      o.Now,
 		pool: idle.New(idle.Options[*conn]{
 			Open: func(ctx context.Context) (*conn, error) {
 				if o.OnDial != nil {
 					o.OnDial()
 				}
-				return dial(ctx, address)
+				return dial(ctx, o.Dial, address)
 			},
 			Usable:      (*conn).reusable,
 			Close:       (*conn).close,
@@ -140,7 +147,7 @@
 
 // Preconnect opens a connection in advance and adds it to the pool.
 func (c *Client) Preconnect(ctx context.Context) error {
-	conn, err := dial(ctx, c.Address)
+	conn, err := dial(ctx, c.dialFunc, c.Address)
 	if err != nil {
 		return err
 	}
