Open connections as probes

Cause: a connection that is reset when it has opened would pass as a sign that the target can be reached. Change: Client.Probe keeps a connection only if it is open after 20 ms. Measured: go test ./exchange, with and without -race.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -62,6 +62,8 @@
 const (
 	// dialTimeout bounds the opening of a connection; the network delay between hosts and targets is a few milliseconds.
 	dialTimeout = 400 * time.Millisecond
+	// probeSettleTime is the time within which a reset of a new connection arrives.
+	probeSettleTime = 20 * time.Millisecond
 	// maxInlineBody is the size in bytes up to which a body is written before reading the response;
 	// it fits a socket's send buffer, so the write does not block.
 	maxInlineBody = 16 << 10
@@ -155,6 +157,27 @@
 	return nil
 }
 
+// Probe opens a connection, adds it to the pool if it is still open after probeSettleTime,
+// and returns an error otherwise.
+func (c *Client) Probe(ctx context.Context) error {
+	conn, err := dial(ctx, c.dialFunc, c.Address)
+	if err != nil {
+		return err
+	}
+	settled := time.NewTimer(probeSettleTime)
+	defer settled.Stop()
+	select {
+	case <-settled.C:
+	case <-ctx.Done():
+	}
+	if !conn.reusable() {
+		conn.close()
+		return eris.Wrapf(ErrUnreachable, "%s: connection was closed at once", c.Address)
+	}
+	c.pool.Put(conn)
+	return nil
+}
+
 // Request is a request to a target.
 type Request struct {
 	Method string
--- /dev/null
+++ b/exchange/probe_test.go
@@ -0,0 +1,51 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+
+	"github.com/redwingtally/redwingtally/internal/ports"
+)
+
+// A probe that opens a connection adds it to the pool. One whose connection is closed at
+// once, or refused, fails.
+func TestProbe(t *testing.T) {
+	accept := func(handle func(*net.TCPConn)) netip.AddrPort {
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = ln.Close() })
+		go func() {
+			for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+				handle(c.(*net.TCPConn))
+			}
+		}()
+		return netip.MustParseAddrPort(ln.Addr().String())
+	}
+	var open []*net.TCPConn // keeps the connections from being collected
+	tests := []struct {
+		name    string
+		address netip.AddrPort
+		want    error
+	}{
+		{"stays open", accept(func(c *net.TCPConn) { open = append(open, c) }), nil},
+		{"reset at once", accept(func(c *net.TCPConn) {
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		}), ErrUnreachable},
+		{"closed at once", accept(func(c *net.TCPConn) { _ = c.Close() }), ErrUnreachable},
+		{"refused", ports.Free(t), ErrNoListener},
+	}
+	for _, test := range tests {
+		c := qt.New(t)
+		client := New(test.address, Options{MaxIdle: 1})
+		err := client.Probe(context.Background())
+		c.Check(eris.Is(err, test.want), qt.IsTrue, qt.Commentf("%s: %v", test.name, err))
+		c.Check(client.HasIdle(), qt.Equals, test.want == nil, qt.Commentf("%s", test.name))
+		client.Close()
+	}
+}
