Tell the host whether targets respond to orders

Cause: a coordinator without callers hears of targets only by its orders. Change: Options.OrderResult, called for each order unless it was given up. Measured: go test ./coordination, with and without -race.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -59,7 +59,9 @@
 	Store func() *platform.Client
 	// TargetClient sends orders to targets.
 	TargetClient *platform.TargetClient
-	Log          *slog.Logger
+	// OrderResult is called with whether a target responded to an order. It may be nil.
+	OrderResult func(target string, answered bool)
+	Log         *slog.Logger
 	// Submit runs a function in the background.
 	Submit func(func()) error
 	// CollectReport returns what the host has to report since the last call.
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -87,6 +87,7 @@
 		defer cancel()
 		token, err = l.member.options.TargetClient.Release(ctx, to, o.Span, o.Fence)
 	}
+	l.reportOrderResult(ctx, o.To.Name, err)
 	if err == nil {
 		return ownership.OrderDone, token
 	}
@@ -102,3 +103,11 @@
 	}
 	return ownership.OrderUnanswered, ""
 }
+
+// reportOrderResult passes on whether a target responded to an order, unless the order was
+// given up as ctx had ended.
+func (l *leader) reportOrderResult(ctx context.Context, target string, err error) {
+	if report := l.member.options.OrderResult; report != nil && ctx.Err() == nil {
+		report(target, err == nil || eris.Is(err, platform.ErrFenced) || eris.Is(err, platform.ErrTargetReplaced))
+	}
+}
--- a/coordination/orders_test.go
+++ b/coordination/orders_test.go
@@ -75,6 +75,45 @@
 	qt.Check(t, calls.Load(), qt.Equals, int32(1))
 }
 
+// The results of orders tell whether their target responds; orders that are given up tell nothing.
+func TestOrderResultsAreReported(t *testing.T) {
+	respond := func(status int) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	closed := netip.MustParseAddrPort("127.0.0.1:9")
+	tests := []struct {
+		name    string
+		ctx     context.Context
+		handler http.Handler // nil if nothing listens
+		want    []bool       // results that are reported
+	}{
+		{"done", context.Background(), respond(http.StatusOK), []bool{true}},
+		{"fenced", context.Background(), respond(http.StatusConflict), []bool{true}},
+		{"another target at the address", context.Background(), respond(http.StatusMisdirectedRequest), []bool{true}},
+		{"unanswered", context.Background(), http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), []bool{false}},
+		{"refused", context.Background(), nil, []bool{false}},
+		{"given up", ended, respond(http.StatusOK), nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			address := closed
+			if test.handler != nil {
+				address, _ = startCountingServer(t, test.handler)
+			}
+			var got []bool
+			l := newTestLeader()
+			l.member.options.OrderResult = func(target string, answered bool) {
+				qt.Check(t, target, qt.Equals, "a")
+				got = append(got, answered)
+			}
+			l.sendOrder(test.ctx, ownership.Order{To: ownership.Incarnation{Name: "a", Address: address}, Fence: 1, HoldTime: HoldTime})
+			qt.Check(t, got, qt.DeepEquals, test.want)
+		})
+	}
+}
+
 // The previous coordinator is asked to stop. Keys with a former owner are granted
 // without a wait for its lease only if it had fenced all owners; otherwise a
 // coordinator before it may still send orders.
