Find out when a host has lost all targets, and hold no requests then

Cause: a host that loses its path to all targets keeps its requests queued, or at connections that hang, until their deadlines. When the host is found to be cut off, queued requests leave the scheduler, attempts that may run again are given up unless targets still respond, and new requests go to passOn (503 cut_off for now, 502 if they may have run).

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -13,14 +13,21 @@
 	"github.com/redwingtally/redwingtally/scheduler"
 )
 
-// attempt waits for a slot and sends the request to one target. It reports
-// whether the request is finished.
+// attempt waits for a slot and sends the request to one target. A host that is cut off
+// from the targets passes it on instead. attempt reports whether the request is finished.
 func (q *request) attempt(ctx context.Context) bool {
-	d, ok := q.service.acquire(ctx, q.scheduled, q.sends > 0)
+	if q.edge.cutOff() {
+		return q.passOn(ctx)
+	}
+	d, ok := q.service.acquire(ctx, q.scheduled, q.queued)
+	q.queued = true
 	if !ok {
 		q.finishCancelled()
 		return true
 	}
+	if d.cutOff {
+		return false
+	}
 	if d.rejected {
 		q.finishRejected(d.rejection)
 		return true
@@ -30,8 +37,13 @@
 	}
 	q.sends++
 	sent := time.Now()
-	response, err := d.client.Do(ctx, q.targetRequest(d.dispatch.Target.Name))
+	target := d.dispatch.Target.Name
+	q.edge.path.sent(target)
+	attemptCtx, detach := q.attemptContext(ctx)
+	response, err := d.client.Do(attemptCtx, q.targetRequest(target))
+	detach()
 	result := scheduler.Result{Outcome: classifyOutcome(response, err), ResponseTime: time.Since(sent)}
+	q.edge.path.exchanged(ctx, target, result.ResponseTime, response, err)
 	if err == nil {
 		q.recordRateLimit(d, response)
 	}
@@ -123,13 +135,21 @@
 		q.possibleRuns++
 	}
 	switch {
+	case eris.Is(err, exchange.ErrCancelled) && ctx.Err() == nil:
+		// Only attemptContext has ended: the host is cut off.
+		if q.takeRetry(ctx, true) {
+			q.logRetry(d, "cut_off", nil)
+			return false
+		}
+		q.finish(http.StatusBadGateway, "cut_off", 0)
+		return true
 	case eris.Is(err, exchange.ErrCancelled), eris.Is(err, exchange.ErrTimeout), ctx.Err() != nil:
 		// The deadline of the connection can expire before ctx reports the same deadline.
 		q.finishCancelled()
 		return true
 	case eris.Is(err, exchange.ErrRequestBody):
 		q.abort("body_broke_off")
-	case !ran && ctx.Err() == nil && q.body.rest == nil && q.sends < maxSends:
+	case !ran && ctx.Err() == nil && q.body.rest == nil && (q.sends < maxSends || q.edge.cutOff()):
 		// No target received the request, so this retry is not charged to the budget.
 		q.logRetry(d, "not_sent", err)
 		return false
--- a/edge/attempt_test.go
+++ b/edge/attempt_test.go
@@ -59,7 +59,13 @@
 		}, http.StatusNotImplemented},
 		{"not sent", exchange.ErrNotSent, func(q *request) { q.route.Repeat = platform.AtMostOnce }, 0},
 		{"not sent, send limit reached", exchange.ErrNotSent, func(q *request) { q.sends = maxSends }, http.StatusServiceUnavailable},
+		{"not sent, send limit reached, cut off", exchange.ErrNotSent, func(q *request) {
+			q.sends = maxSends
+			q.edge.path.lost.Store(true)
+		}, 0},
 		{"not sent, streamed body", exchange.ErrNotSent, func(q *request) { q.body.rest = strings.NewReader("rest") }, http.StatusServiceUnavailable},
+		{"given up by a host that is cut off", exchange.ErrCancelled, nil, 0},
+		{"given up by a host that is cut off, no attempt left", exchange.ErrCancelled, func(q *request) { q.possibleRuns = 1 }, http.StatusBadGateway},
 		{"not sent, but possibly run before", exchange.ErrNotSent, func(q *request) { q.sends, q.possibleRuns = maxSends, 1 }, http.StatusBadGateway},
 	}
 	for _, test := range tests {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -38,6 +38,7 @@
 	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/quarantine"
 	"github.com/redwingtally/redwingtally/ratelimit"
+	"github.com/redwingtally/redwingtally/reachability"
 	"github.com/redwingtally/redwingtally/routing"
 	"github.com/redwingtally/redwingtally/settings"
 )
@@ -81,6 +82,7 @@
 	rateLimits      *ratelimit.Table
 	dialTarget      platform.DialFunc    // opens the connections to targets
 	permitsWanted   chan struct{}        // a service lacks permits for limited targets
+	path            *pathToTargets       // whether this host is cut off from the targets
 	ownPermits      *ratelimit.Allocator // used by getPermits while no coordinator gives out permits
 	initialised     chan struct{}        // closed once the configuration and the targets have been received
 	initialisedOnce sync.Once            // guards the closing of initialised
@@ -117,6 +119,7 @@
 		rateLimits:    ratelimit.NewTable(),
 		dialTarget:    platform.Dial,
 		permitsWanted: make(chan struct{}, 1),
+		path:          newPathToTargets(),
 		ownPermits:    ratelimit.NewAllocator(),
 		initialised:   make(chan struct{}),
 	}
@@ -132,6 +135,7 @@
 		CollectReport: e.loadReport,
 		Targets:       e.coordinationTargets,
 		StateUpdated:  e.applyView,
+		OrderResult:   e.path.orderResult,
 		Random:        e.random,
 
 		TakeoverDelay: takeoverDelay(s.CPUShare),
@@ -154,6 +158,7 @@
 		{Name: "configuration", Priority: 1, Start: e.background(e.watchConfiguration), Dump: e.dumpConfiguration},
 		{Name: "directory", Priority: 1, Start: e.background(e.watchTargets), Dump: e.dumpTargets},
 		{Name: "coordination", Priority: 2, Start: e.background(e.member.Run), Dump: func() any { return e.member.State() }},
+		{Name: "reachability", Priority: 2, Start: e.background(e.probeTargets), Dump: e.dumpReachability},
 		{Name: "limits", Priority: 2, Start: e.background(e.getPermits), Dump: e.dumpRateLimits},
 		{Name: "entry", Priority: 3, Start: e.startEntry},
 		{Name: "readiness", Priority: 4, Start: e.startReadiness},
@@ -264,15 +269,20 @@
 	current := targetsState{table, e.targets.Version(), e.targets.UsableCount(now)}
 	changed := current != e.passedTargets
 	e.passedTargets = current
+	count := 0
 	for _, spec := range table.Configuration.Services {
 		s := e.serviceLocked(spec.Name)
 		if changed {
 			targets := e.targets.ServiceTargets(now, spec.Name)
+			count += len(targets)
 			s.setTargets(now, spec, targets, load.hosts)
 			s.setRateLimits(now, e.rateLimits.ByName(targets))
 		}
 		s.setLoad(now, load)
 	}
+	if changed {
+		e.path.update(false, func(t *reachability.Tracker) { t.SetTargets(count) })
+	}
 }
 
 // applyView applies a changed coordination view. It adopts the fingerprints that
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -37,3 +37,6 @@
 
 // Coordinates reports whether the host coordinates.
 func (e *Edge) Coordinates() bool { return e.member.Leading() }
+
+// CutOff reports whether the host is found to be cut off from the targets.
+func (e *Edge) CutOff() bool { return e.cutOff() }
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -47,6 +47,7 @@
 	scheduled   *scheduler.Request
 	callerRetry bool // the caller repeats a request that was rejected before
 
+	queued       bool               // the scheduler has received the request
 	sends        int                // attempts sent to targets
 	possibleRuns int                // attempts that a target may have run
 	queueTime    time.Duration      // time from the arrival at the scheduler to the first attempt
--- a/edge/service.go
+++ b/edge/service.go
@@ -41,12 +41,13 @@
 }
 
 // schedulerDecision is the scheduler's decision on a queued request: a slot at a
-// target or a rejection.
+// target or a rejection, or that the host was cut off from the targets before.
 type schedulerDecision struct {
 	dispatch  scheduler.Dispatch
 	client    *exchange.Client
 	rejection scheduler.Rejection
 	rejected  bool
+	cutOff    bool
 }
 
 // newService returns a service without targets.
@@ -88,8 +89,9 @@
 }
 
 // acquire waits until the scheduler assigns the request a slot at a target or
-// rejects it. retry reports whether the request was sent before. acquire returns
-// false if ctx ends first.
+// rejects it, or until the host is found to be cut off from the targets. retry reports
+// whether the scheduler has received the request before. acquire returns false if ctx
+// ends first.
 func (s *service) acquire(ctx context.Context, r *scheduler.Request, retry bool) (schedulerDecision, bool) {
 	decision := make(chan schedulerDecision, 1)
 	r.Value = decision
@@ -110,8 +112,18 @@
 	select {
 	case d := <-decision:
 		return d, true
+	case <-s.edge.cutOffBegins():
+		s.withdraw(r, decision)
+		return schedulerDecision{cutOff: true}, true
 	case <-ctx.Done():
+		s.withdraw(r, decision)
+		return schedulerDecision{}, false
 	}
+}
+
+// withdraw removes a request from the scheduler, or returns the slot that it has got
+// meanwhile.
+func (s *service) withdraw(r *scheduler.Request, decision <-chan schedulerDecision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.scheduler.Remove(r) {
@@ -120,7 +132,6 @@
 			s.dispatchQueued(time.Now())
 		}
 	}
-	return schedulerDecision{}, false
 }
 
 // release returns the slot of an attempt and reports its result to the scheduler.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -51,6 +51,10 @@
 	SilentConnections *prometheus.CounterVec
 	// LimitedAttempts counts requests sent to targets that state a rate limit.
 	LimitedAttempts *prometheus.CounterVec
+	// CutOff is 1 while the host has lost all targets, and 0 otherwise.
+	CutOff *prometheus.GaugeVec
+	// Probes counts the connections opened to find out whether the host has lost all targets, by result.
+	Probes *prometheus.CounterVec
 
 	registry *prometheus.Registry
 }
@@ -76,11 +80,13 @@
 		Quarantined:       counter("set_asides_total", "Requests that were set aside.", "service"),
 		SilentConnections: counter("silent_connections_total", "Connections that were found silent.", "service"),
 		LimitedAttempts:   counter("limited_attempts_total", "Requests sent to targets that state a rate limit.", "service"),
+		CutOff:            gauge("cut_off", "Whether the host has lost all targets."),
+		Probes:            counter("probes_total", "Connection attempts that look for a path to targets.", "result"),
 	}
 	s.registry.MustRegister(
 		s.Requests, s.QueueSeconds, s.ServiceSeconds, s.Retries, s.QueuedRequests, s.ShardImbalance, s.OwnershipChanges,
 		s.UnownedShards, s.UnownedSeconds, s.StoreCalls, s.ControlBytes, s.ControlHeartbeats, s.TargetConnections, s.Quarantined, s.SilentConnections,
-		s.LimitedAttempts,
+		s.LimitedAttempts, s.CutOff, s.Probes,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return s
