--- a/edge/edge.go
+++ b/edge/edge.go
@@ -38,6 +38,7 @@
 	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/quarantine"
 	"github.com/redwingtally/redwingtally/ratelimit"
+	"github.com/redwingtally/redwingtally/reachability"
 	"github.com/redwingtally/redwingtally/routing"
 	"github.com/redwingtally/redwingtally/settings"
 )
@@ -79,7 +80,9 @@
 	entryServer     *entryServer
 	feed            *feed.Feed
 	rateLimits      *ratelimit.Table
+	dialTarget      platform.DialFunc    // opens the connections to targets
 	permitsWanted   chan struct{}        // a service lacks permits for limited targets
+	path            *pathToTargets       // whether this host is cut off from the targets
 	ownPermits      *ratelimit.Allocator // used by getPermits while no coordinator gives out permits
 	initialised     chan struct{}        // closed once the configuration and the targets have been received
 	initialisedOnce sync.Once            // guards the closing of initialised
@@ -114,7 +117,9 @@
 		crashTable:    quarantine.New(),
 		feed:          feed.New(),
 		rateLimits:    ratelimit.NewTable(),
+		dialTarget:    platform.Dial,
 		permitsWanted: make(chan struct{}, 1),
+		path:          newPathToTargets(),
 		ownPermits:    ratelimit.NewAllocator(),
 		initialised:   make(chan struct{}),
 	}
@@ -124,12 +129,13 @@
 		Process:       s.Host + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		Address:       s.ControlAddress,
 		Store:         e.store.Load,
-		TargetClient:  platform.NewTargetClient(),
+		TargetClient:  platform.NewTargetClient(e.dial),
 		Log:           e.log,
 		Submit:        e.submit,
 		CollectReport: e.loadReport,
 		Targets:       e.coordinationTargets,
 		StateUpdated:  e.applyView,
+		OrderResult:   e.path.orderResult,
 		Random:        e.random,
 
 		TakeoverDelay: takeoverDelay(s.CPUShare),
@@ -152,6 +158,7 @@
 		{Name: "configuration", Priority: 1, Start: e.background(e.watchConfiguration), Dump: e.dumpConfiguration},
 		{Name: "directory", Priority: 1, Start: e.background(e.watchTargets), Dump: e.dumpTargets},
 		{Name: "coordination", Priority: 2, Start: e.background(e.member.Run), Dump: func() any { return e.member.State() }},
+		{Name: "reachability", Priority: 2, Start: e.background(e.probeTargets), Dump: e.dumpReachability},
 		{Name: "limits", Priority: 2, Start: e.background(e.getPermits), Dump: e.dumpRateLimits},
 		{Name: "entry", Priority: 3, Start: e.startEntry},
 		{Name: "readiness", Priority: 4, Start: e.startReadiness},
@@ -192,6 +199,11 @@
 	return 0
 }
 
+// dial opens a connection to a target.
+func (e *Edge) dial(ctx context.Context, address netip.AddrPort, timeout time.Duration) (*net.TCPConn, error) {
+	return e.dialTarget(ctx, address, timeout)
+}
+
 func (e *Edge) random() float64 { return rand.Float64() }
 
 // submit runs f on the worker pool, or in a new goroutine when all workers are
@@ -257,15 +269,20 @@
 	current := targetsState{table, e.targets.Version(), e.targets.UsableCount(now)}
 	changed := current != e.passedTargets
 	e.passedTargets = current
+	count := 0
 	for _, spec := range table.Configuration.Services {
 		s := e.serviceLocked(spec.Name)
 		if changed {
 			targets := e.targets.ServiceTargets(now, spec.Name)
+			count += len(targets)
 			s.setTargets(now, spec, targets, load.hosts)
 			s.setRateLimits(now, e.rateLimits.ByName(targets))
 		}
 		s.setLoad(now, load)
 	}
+	if changed {
+		e.path.update(false, func(t *reachability.Tracker) { t.SetTargets(count) })
+	}
 }
 
 // applyView applies a changed coordination view. It adopts the fingerprints that
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -62,6 +62,8 @@
 const (
 	// dialTimeout bounds the opening of a connection; the network delay between hosts and targets is a few milliseconds.
 	dialTimeout = 400 * time.Millisecond
+	// probeSettleTime is the time within which a reset of a new connection arrives.
+	probeSettleTime = 20 * time.Millisecond
 	// maxInlineBody is the size in bytes up to which a body is written before reading the response;
 	// it fits a socket's send buffer, so the write does not block.
 	maxInlineBody = 16 << 10
@@ -88,6 +90,8 @@
 	Spawn func(func()) error
 	// OnDial is called before a request opens a connection. It may be nil.
 	OnDial func()
+	// Dial opens a connection; nil means platform.Dial.
+	Dial platform.DialFunc
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
 }
@@ -98,9 +102,10 @@
 	// Address is the target's address.
 	Address netip.AddrPort
 
-	pool  *idle.Pool[*conn]
-	spawn func(func()) error
-	now   func() time.Time
+	pool     *idle.Pool[*conn]
+	spawn    func(func()) error
+	dialFunc platform.DialFunc
+	now      func() time.Time
 }
 
 // New returns a Client for address. It opens no connection.
@@ -108,16 +113,20 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Dial == nil {
+		o.Dial = platform.Dial
+	}
 	return &Client{
-		Address: address,
-		spawn:   o.Spawn,
-		now:     o.Now,
+		Address:  address,
+		spawn:    o.Spawn,
+		dialFunc: o.Dial,
+		now:      o.Now,
 		pool: idle.New(idle.Options[*conn]{
 			Open: func(ctx context.Context) (*conn, error) {
 				if o.OnDial != nil {
 					o.OnDial()
 				}
-				return dial(ctx, address)
+				return dial(ctx, o.Dial, address)
 			},
 			Usable:      (*conn).reusable,
 			Close:       (*conn).close,
@@ -140,7 +149,7 @@
 
 // Preconnect opens a connection in advance and adds it to the pool.
 func (c *Client) Preconnect(ctx context.Context) error {
-	conn, err := dial(ctx, c.Address)
+	conn, err := dial(ctx, c.dialFunc, c.Address)
 	if err != nil {
 		return err
 	}
@@ -148,6 +157,27 @@
 	return nil
 }
 
+// Probe opens a connection, adds it to the pool if it is still open after probeSettleTime,
+// and returns an error otherwise.
+func (c *Client) Probe(ctx context.Context) error {
+	conn, err := dial(ctx, c.dialFunc, c.Address)
+	if err != nil {
+		return err
+	}
+	settled := time.NewTimer(probeSettleTime)
+	defer settled.Stop()
+	select {
+	case <-settled.C:
+	case <-ctx.Done():
+	}
+	if !conn.reusable() {
+		conn.close()
+		return eris.Wrapf(ErrUnreachable, "%s: connection was closed at once", c.Address)
+	}
+	c.pool.Put(conn)
+	return nil
+}
+
 // Request is a request to a target.
 type Request struct {
 	Method string
