Add relays to the messages between hosts

A host that has lost all targets must learn which other hosts serve relayed requests. Reports now carry the relay address, the data centre, whether the host is cut off, whether it accepts relayed requests and which list it knows; replies carry a list, and State.Relays keeps it until another one comes. All fields are left out when unset, so that earlier builds read and send the same messages as before. Coordinators send no lists yet.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -86,6 +86,14 @@
 	TakeoverDelay time.Duration
 	// Random returns a number in [0, 1).
 	Random func() float64
+	// CutOff reports whether this host has lost all targets; nil means never. AcceptsRelayed reports whether it serves
+	// requests that other hosts relay to RelayAddress; nil means never. Without RelayAddress this host neither is a relay nor
+	// learns of any.
+	CutOff         func() bool
+	AcceptsRelayed func() bool
+	RelayAddress   netip.AddrPort
+	// DataCentre is the data centre of this host.
+	DataCentre string
 }
 
 // Targets are the usable targets of a directory.
@@ -141,6 +149,10 @@
 	Index int
 	// Rates are the requests per second of all hosts, by service.
 	Rates map[string]float64
+	// Relays are the hosts to which this one may relay requests, in order of preference.
+	Relays []Relay
+
+	relaysVersion uint64 // of Relays; 0 if no coordinator has sent a list
 }
 
 // New returns a Member.
--- a/coordination/follower.go
+++ b/coordination/follower.go
@@ -270,6 +270,7 @@
 	r.AcceptsPacked = true
 	r.View, r.FeedVersions, r.Unconfirmed = m.State().Version, m.options.Feed.Versions(), !m.loaded()
 	r.KnownTerm = m.termBefore()
+	m.addRelayState(&r)
 	if m.watchGate.isOpen() {
 		r.Watching, r.StoreUnreachable = true, m.options.StoreUnreachable()
 		if known := m.versionsOfCoordinator(); known != nil {
@@ -293,6 +294,7 @@
 	}
 	old := m.State()
 	s := &State{View: old.apply(r.View), Coordinator: d.Coordinator, Hosts: max(1, r.Hosts), Index: r.Index, Rates: r.Rates}
+	s.Relays, s.relaysVersion = old.relaysAfter(r)
 	m.state.Store(s)
 	if s.Version != old.Version || s.Hosts != old.Hosts || s.Index != old.Index {
 		m.options.Log.Info("coordination: View changed.", "term", s.Version.Term, "number", s.Version.Number, "hosts", s.Hosts, "index", s.Index)
--- a/coordination/message.go
+++ b/coordination/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -52,6 +53,17 @@
 	LowPriority bool `json:"reluctant,omitempty"`
 	// AcceptsPacked reports whether the sender understands the packed parts of replies; earlier builds do not.
 	AcceptsPacked bool `json:"accepts_packed,omitempty"`
+	// RelayAddress is where the sender's relay listener serves other hosts. It is not set if the sender relays no
+	// requests, or is an earlier build.
+	RelayAddress netip.AddrPort `json:"relay_address,omitzero"`
+	// DataCentre is the data centre of the sender.
+	DataCentre string `json:"data_centre,omitempty"`
+	// CutOff reports whether the sender has lost all targets.
+	CutOff bool `json:"cut_off,omitempty"`
+	// AcceptsRelayed reports whether the sender serves requests that other hosts relay to it.
+	AcceptsRelayed bool `json:"accepts_relayed,omitempty"`
+	// KnownRelays is the version of the list of relays that the sender has, or 0 if it has none.
+	KnownRelays uint64 `json:"known_relays,omitempty"`
 	// Wait is how long the coordinator may wait for a change before it replies, in nanoseconds on the wire.
 	Wait time.Duration `json:"wait"`
 }
@@ -102,6 +114,10 @@
 	// to which they are complete.
 	RateLimits        []ratelimit.Limit `json:"rate_limits,omitempty"`
 	RateLimitsVersion RateLimitsVersion `json:"rate_limits_version"`
+	// Relays are the hosts to which the sender may relay requests. RelaysVersion is the version of this list; if it is 0, the
+	// reply contains no list and the sender keeps the one it has.
+	Relays        []Relay `json:"relays,omitempty"`
+	RelaysVersion uint64  `json:"relays_version,omitempty"`
 	// WatchStore reports whether the sender has to watch the store itself.
 	WatchStore bool `json:"watch,omitempty"`
 	// StoreUnavailable reports whether no host that watches the store reaches it.
@@ -118,6 +134,13 @@
 	sharedFeed *shared[feed.Delta] // Feed, if it is shared with other replies
 }
 
+// A Relay is a host that serves requests of hosts that have lost all targets.
+type Relay struct {
+	Host       string         `json:"host"`
+	Address    netip.AddrPort `json:"address"`
+	DataCentre string         `json:"data_centre,omitempty"`
+}
+
 // codec encodes messages as JSON. The codecs of connect accept only protobuf
 // messages.
 type codec struct{}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -141,6 +141,8 @@
 		RateLimitsChanged:   e.applyRateLimits,
 		StoreUnreachable:    e.ownStoreUnreachable,
 		SetStoreUnavailable: e.setStoreUnavailable,
+
+		DataCentre: s.DataCentre,
 	})
 	return e, e.registerServices()
 }
