Tell each host which hosts relay for it

A host that has lost all targets needs hosts to relay its requests to, and many such hosts must not choose the same. The coordinator now selects eight relays at most for each host by rendezvous hashing: half of the host's own data centre, the rest of others. It sends a list only if the host has another one. A relay that is cut off or stops leaves the lists at once: the reports that wait and whose lists contain it are answered. Such changes wake the waiting reports as often as views at most (50 ms, or 1 ms for each host). A new coordinator leaves lists alone until all hosts have reported, for a second at most.

--- a/coordination/coordination_test.go
+++ b/coordination/coordination_test.go
@@ -107,7 +107,7 @@
 
 // startHosts starts a store and n hosts, and waits until one host coordinates and
 // all have received the number of hosts.
-func startHosts(t *testing.T, n int) []*testHost {
+func startHosts(t *testing.T, n int, change ...func(*Options)) []*testHost {
 	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{Era: 1})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() {
@@ -117,7 +117,7 @@
 	})
 	hosts := make([]*testHost, 0, n)
 	for i := range n {
-		hosts = append(hosts, startHost(t, fmt.Sprint("h", i), p.Address()))
+		hosts = append(hosts, startHost(t, fmt.Sprint("h", i), p.Address(), change...))
 	}
 	waitFor(t, "one coordinator, known to all hosts", func() bool {
 		for _, h := range hosts {
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -69,6 +69,8 @@
 	limitedTargets   TargetsVersion // of the targets whose limits were passed
 	publishedAt      time.Time      // when the last view was published
 	publishScheduled bool           // whether a timer will publish the next view
+	relaysNotifiedAt time.Time      // when the waiting reports were last woken by a change of the relays
+	relaysScheduled  bool           // whether a timer will wake them for the next change
 	changed          chan struct{}  // closed and replaced when waiting reports must check for changes
 }
 
@@ -80,6 +82,7 @@
 	watching         bool
 	storeUnreachable bool
 	lowPriority      bool
+	relayState
 }
 
 // lead takes the document over from old and coordinates until another process
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -93,7 +93,7 @@
 }
 
 // sync processes a report and answers it when the newest view is not the sender's,
-// when the sender lacks objects of the store, or when r.Wait has passed. It returns
+// when the sender lacks objects of the store or needs other relays, or when r.Wait has passed. It returns
 // ErrNotCoordinator if the coordination ends or the lease expires before that.
 func (l *leader) sync(ctx context.Context, r *Report) (*Reply, error) {
 	if changes := l.member.options.Feed.Merge(r.Feed); len(changes) > 0 {
@@ -106,7 +106,7 @@
 	l.publish()
 	end := time.NewTimer(r.Wait)
 	defer end.Stop()
-	for l.views.newest.Version == r.View && !l.ended && !l.hasObjectsFor(r) && !l.hasRateLimitsFor(r) {
+	for l.views.newest.Version == r.View && !l.ended && !l.hasObjectsFor(r) && !l.hasRateLimitsFor(r) && !l.needsRelays(r) {
 		changed := l.changed
 		l.mu.Unlock()
 		select {
@@ -137,7 +137,13 @@
 func (l *leader) applyReport(r *Report) {
 	t := now()
 	l.reporters[r.Host] = reporter{reportedAt: t, knownTerm: r.KnownTerm}
-	l.hosts[r.Process] = &hostReport{host: r.Host, receivedAt: t, rates: r.Rates, watching: r.Watching, storeUnreachable: r.StoreUnreachable, lowPriority: r.LowPriority}
+	h := &hostReport{
+		host: r.Host, receivedAt: t, rates: r.Rates, watching: r.Watching, storeUnreachable: r.StoreUnreachable, lowPriority: r.LowPriority,
+		relayState: newRelayState(r),
+	}
+	before := l.hosts[r.Process]
+	l.hosts[r.Process] = h
+	l.updateRelayState(t, before, h)
 	for name, load := range r.KeyedLoads {
 		l.core.Report(t, name, load)
 	}
@@ -157,6 +163,7 @@
 	createdAt time.Time
 	names     []string           // processes of the hosts, sorted
 	rates     map[string]float64 // requests per second of all hosts, by service; not modified
+	relays    *relaySet
 }
 
 // summaryMaxAge is the age up to which a summary is used for further replies. A change
@@ -183,6 +190,11 @@
 		}
 	}
 	slices.Sort(s.names)
+	var old *relaySet
+	if l.summary != nil {
+		old = l.summary.relays
+	}
+	s.relays = l.usableRelays(s.names, old)
 	l.summary = s
 	return s
 }
@@ -205,6 +217,9 @@
 	if !r.AcceptsPacked {
 		reply.sharedView, reply.sharedFeed = nil, nil
 	}
+	if list, ok := l.relaysFor(t, s, r); ok && list.version != r.KnownRelays {
+		reply.Relays, reply.RelaysVersion = list.relays, list.version
+	}
 	reply.StoreUnavailable = l.storeUnavailable(s.names)
 	reply.WatchStore = l.shouldWatch(s.names, r.Process)
 	return reply
