Let a cut-off coordinator give way

A coordinator that has lost all targets cannot renew grants, and keys run out three seconds later. Until now it resigned only once most targets had left orders unanswered for 1.2 s, whether or not another host reached them. It now resigns as soon as it knows that its host is cut off, if another host reports that it is not and the store answers a read; a write of unknown outcome does not hold it up. Without such a host, or without the store, it goes on, so that configuration and targets are passed on. A host that is cut off leaves the takeover to others while its list of relays names one: for 3 s after the last reply of a coordinator, 1 s after one that resigned. It is a candidate again as soon as it is no longer cut off. Isolation is not judged while the host is cut off and for a second after, as orders from before the end have to time out.

The guard co-isolated has the new condition. Keys stayed granted where the coordinator noticed a second after the cut (TestKeysStayGrantedWhenTheCoordinatorIsCutOff).

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -133,6 +133,8 @@
 	permitClient        *permitClient // the same for permits
 	limitsExchanged     limitsExchange
 	lastReply           time.Time           // when a coordinator last replied
+	refusedAt           time.Time           // when it first answered since that it does not coordinate; zero if it has not
+	gaveWayUntil        time.Time           // this process gave way while cut off, and does not take over until then if it still is
 	followed            *ownership.Document // names the coordinator that this host last followed, with its term
 	lastLed             *ownership.Document // of this process's last term; nil if it has not coordinated
 	knownTerm           uint64              // highest term of a coordinator that this host followed before the present one
--- a/coordination/document.go
+++ b/coordination/document.go
@@ -243,6 +243,7 @@
 
 func (m *Member) candidacySuspended() bool {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	return now().Before(m.candidateFrom)
+	suspended := now().Before(m.candidateFrom)
+	m.mu.Unlock()
+	return suspended || m.defersToOthers()
 }
--- a/coordination/follower.go
+++ b/coordination/follower.go
@@ -140,6 +140,7 @@
 	f.member.options.SetStoreUnavailable(f.member.options.StoreUnreachable())
 	f.log.Warn("coordination: Coordinator does not answer.", "failures", f.failures, "error", err.Error())
 	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
+		f.member.recordRefusal()
 		sleep(ctx, f.member.jitter(retryInterval))
 		return f.member.takeOver(ctx, f.document)
 	}
@@ -160,6 +161,9 @@
 // it reaches the store itself. The others do not know and try less often, as
 // every call to the store has a cost.
 func (m *Member) shouldTakeOver(r *Reply, sinceAttempt time.Duration) bool {
+	if m.defersToOthers() {
+		return false
+	}
 	if m.watchGate.isOpen() && !m.options.StoreUnreachable() {
 		return r.ConfirmationAge > watcherTakeoverAge && sinceAttempt > confirmRetryInterval
 	}
@@ -218,6 +222,9 @@
 // coordinator: the document names another one or has changed in the meantime, or
 // this process has coordinated.
 func (m *Member) takeOver(ctx context.Context, failed *ownership.Document) bool {
+	if m.defersToOthers() {
+		return m.awaitSuccessor(ctx, failed)
+	}
 	if m.candidacySuspended() {
 		return m.superseded(ctx, failed)
 	}
@@ -306,7 +313,7 @@
 func (m *Member) recordReply() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lastReply = now()
+	m.lastReply, m.refusedAt = now(), time.Time{}
 }
 
 // replyOverdue reports whether the last reply of a coordinator is so old that
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -71,6 +71,8 @@
 	publishScheduled bool           // whether a timer will publish the next view
 	relaysNotifiedAt time.Time      // when the waiting reports were last woken by a change of the relays
 	relaysScheduled  bool           // whether a timer will wake them for the next change
+	givingWay        bool           // giveWay is running
+	cutOffAt         time.Time      // when the host was last cut off
 	changed          chan struct{}  // closed and replaced when waiting reports must check for changes
 }
 
@@ -243,7 +245,7 @@
 
 // step sends due orders, starts a due write of the document and publishes the view.
 func (l *leader) step(ctx context.Context) {
-	targets := l.member.options.Targets()
+	targets, cutOff := l.member.options.Targets(), l.member.cutOff()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := now()
@@ -259,7 +261,13 @@
 	}
 	l.updateRateLimits(targets)
 	l.settleOwners(t)
-	if l.core.Isolated(t) {
+	if cutOff {
+		l.cutOffAt = t
+		if l.shouldGiveWay(t) {
+			l.givingWay = true
+			go l.giveWay(ctx)
+		}
+	} else if t.Sub(l.cutOffAt) >= recoveryTime && l.core.Isolated(t) {
 		l.member.options.Log.Warn("coordination: Most targets do not answer. Resigning.")
 		l.member.suspendCandidacy(isolationBackoff)
 		go l.resign()
@@ -294,7 +302,7 @@
 		return false
 	}
 	for _, h := range l.hosts {
-		if !h.lowPriority && !h.storeUnreachable && t.Sub(h.receivedAt) < handOverDelay {
+		if !h.lowPriority && h.reachesTargets() && t.Sub(h.receivedAt) < handOverDelay {
 			return true
 		}
 	}
--- a/coordination/relays.go
+++ b/coordination/relays.go
@@ -18,9 +18,6 @@
 	relaySettleTime = time.Second
 )
 
-// cutOff reports whether this host has lost all targets.
-func (m *Member) cutOff() bool { return m.options.CutOff != nil && m.options.CutOff() }
-
 // addRelayState adds to a report what the coordinator must know to choose relays.
 func (m *Member) addRelayState(r *Report) {
 	o := &m.options
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -305,7 +305,7 @@
 `, "", "./coordination"},
 	{"co-aside2", "coordination/leader.go", `		l.member.suspendCandidacy(isolationBackoff)
 `, "", "./coordination"},
-	{"co-isolated", "coordination/leader.go", "if l.core.Isolated(t) {", "if false {", "./coordination"},
+	{"co-isolated", "coordination/leader.go", "t.Sub(l.cutOffAt) >= recoveryTime && l.core.Isolated(t) {", "false {", "./coordination"},
 	{"co-batch", "coordination/orders.go", `if result == ownership.OrderUnanswered {
 			result = ownership.OrderNotSent
 		}`, "", "./coordination"},
@@ -370,6 +370,19 @@
 	{"co-relay-trailing", "coordination/relays.go", "		wake()\n	})", "	})", "./coordination"},
 	{"co-relay-once", "coordination/reports.go", "ok && list.version != r.KnownRelays {", "ok {", "./coordination"},
 	{"co-relay-kept", "coordination/relays.go", "if r.RelaysVersion == 0 {", "if false {", "./coordination"},
+	{"co-giveway", "coordination/leader.go", "if l.shouldGiveWay(t) {", "if false {", "./coordination"},
+	{"co-giveway-store", "coordination/cutoff.go", "!m.storeAnswers(ctx) || ", "", "./coordination"},
+	{"co-giveway-unreachable", "coordination/cutoff.go", "l.givingWay || l.member.options.StoreUnreachable()", "l.givingWay", "./coordination"},
+	{"co-giveway-fresh", "coordination/cutoff.go", "h.reachesTargets() && t.Sub(h.receivedAt) < handOverDelay", "h.reachesTargets()", "./coordination"},
+	{"co-giveway-other", "coordination/cutoff.go", "return !h.cutOff && ", "return ", "./coordination"},
+	{"co-giveway-stopping", "coordination/cutoff.go", " && (h.accepts || !h.self.Address.IsValid())", "", "./coordination"},
+	{"co-giveway-handover", "coordination/leader.go", "!h.lowPriority && h.reachesTargets() && t.Sub", "!h.lowPriority && t.Sub", "./coordination"},
+	{"co-defer", "coordination/cutoff.go", "	if !m.cutOff() {", "	if true {", "./coordination"},
+	{"co-defer-gaveway", "coordination/cutoff.go", "if t.Before(m.gaveWayUntil) {", "if false {", "./coordination"},
+	{"co-defer-known", "coordination/cutoff.go", "len(m.State().Relays) == 0 || ", "", "./coordination"},
+	{"co-defer-time", "coordination/cutoff.go", " || t.Sub(m.lastReply) >= deferTime {", " {", "./coordination"},
+	{"co-defer-refused", "coordination/cutoff.go", "return m.refusedAt.IsZero() || t.Sub(m.refusedAt) < deferTimeRefused", "return true", "./coordination"},
+	{"co-recovery", "coordination/leader.go", "t.Sub(l.cutOffAt) >= recoveryTime && l.core.Isolated(t) {", "l.core.Isolated(t) {", "./coordination"},
 	{"ed-knowledge", "edge/handler.go", "\tq.awaitInitialState()\n", "", "./edge"},
 	{"ed-lag-version", "edge/watch.go", "objects, from, err = store.List(ctx, kind)", "objects, from, err = store.List(ctx, kind)\n\t\t\tfrom = 1", "./edge"},
 }
