Move no keys while the coordinator is cut off

While a host is cut off, owners leave its orders unanswered one after the other, and the first of them seemed to have failed before most had: their keys would have been moved, which the coordinator cannot carry out then. It now plans nothing while it is cut off and for a second after, until delayed orders have timed out.

--- a/coordination/cutoff.go
+++ b/coordination/cutoff.go
@@ -100,3 +100,12 @@
 	m.mu.Unlock()
 	l.resign()
 }
+
+// plan returns the change that is due, as Core.Plan. While the host is cut off and shortly after, owners seem not to answer and
+// would lose their keys. The caller holds l.mu.
+func (l *leader) plan(t time.Time) (*ownership.Document, []ownership.Move) {
+	if t.Sub(l.cutOffAt) < recoveryTime {
+		return nil, nil
+	}
+	return l.core.Plan(t)
+}
--- a/coordination/giveway_test.go
+++ b/coordination/giveway_test.go
@@ -173,3 +173,31 @@
 		})
 	}
 }
+
+// A coordinator moves no keys while it is cut off, nor just after.
+func TestCutOffCoordinatorMovesNoKeys(t *testing.T) {
+	tests := []struct {
+		name     string
+		cutOff   bool
+		cutEnded time.Duration // how long ago the last cut ended; 0 if there was none
+		want     bool
+	}{
+		{"not cut off", false, 0, true},
+		{"cut off", true, 0, false},
+		{"cut has just ended", false, recoveryTime / 2, false},
+		{"cut ended before", false, recoveryTime, true},
+	}
+	for _, test := range tests {
+		l := newTestLeader()
+		l.member.options.Targets = func() Targets { return Targets{} }
+		l.member.options.StoreUnreachable = func() bool { return true }
+		l.member.options.CutOff = func() bool { return test.cutOff }
+		l.member.options.Submit = func(func()) error { return nil } // the write is not needed
+		l.core.SetTargets(now().Add(-time.Minute), "stock", stockTargets(4))
+		if test.cutEnded > 0 {
+			l.cutOffAt = now().Add(-test.cutEnded)
+		}
+		l.step(context.Background())
+		qt.Check(t, l.core.Proposed() != nil, qt.Equals, test.want, qt.Commentf(test.name))
+	}
+}
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -279,7 +279,7 @@
 		go l.resign()
 		return
 	}
-	if d, moves := l.core.Plan(t); d != nil {
+	if d, moves := l.plan(t); d != nil {
 		d.HostCount = l.hostCount(t)
 		for _, mv := range moves {
 			l.member.options.Log.Info("coordination: Keys move.", "service", mv.Service, "first", mv.Span.First, "last", mv.Span.Last,
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -383,6 +383,7 @@
 	{"co-defer-time", "coordination/cutoff.go", " || t.Sub(m.lastReply) >= deferTime {", " {", "./coordination"},
 	{"co-defer-refused", "coordination/cutoff.go", "return m.refusedAt.IsZero() || t.Sub(m.refusedAt) < deferTimeRefused", "return true", "./coordination"},
 	{"co-recovery", "coordination/leader.go", "t.Sub(l.cutOffAt) >= recoveryTime && l.core.Isolated(t) {", "l.core.Isolated(t) {", "./coordination"},
+	{"co-cutoff-moves", "coordination/cutoff.go", "	if t.Sub(l.cutOffAt) < recoveryTime {", "	if false {", "./coordination"},
 	{"ed-knowledge", "edge/handler.go", "\tq.awaitInitialState()\n", "", "./edge"},
 	{"ed-lag-version", "edge/watch.go", "objects, from, err = store.List(ctx, kind)", "objects, from, err = store.List(ctx, kind)\n\t\t\tfrom = 1", "./edge"},
 }
