--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -88,6 +88,14 @@
 	TakeoverDelay time.Duration
 	// Random returns a number in [0, 1).
 	Random func() float64
+	// CutOff reports whether this host has lost all targets; nil means never. AcceptsRelayed reports whether it serves
+	// requests that other hosts relay to RelayAddress; nil means never. Without RelayAddress this host neither is a relay nor
+	// learns of any.
+	CutOff         func() bool
+	AcceptsRelayed func() bool
+	RelayAddress   netip.AddrPort
+	// DataCentre is the data centre of this host.
+	DataCentre string
 }
 
 // Targets are the usable targets of a directory.
@@ -127,6 +135,8 @@
 	permitClient        *permitClient // the same for permits
 	limitsExchanged     limitsExchange
 	lastReply           time.Time           // when a coordinator last replied
+	refusedAt           time.Time           // when it first answered since that it does not coordinate; zero if it has not
+	gaveWayUntil        time.Time           // this process gave way while cut off, and does not take over until then if it still is
 	followed            *ownership.Document // names the coordinator that this host last followed, with its term
 	lastLed             *ownership.Document // of this process's last term; nil if it has not coordinated
 	knownTerm           uint64              // highest term of a coordinator that this host followed before the present one
@@ -143,6 +153,10 @@
 	Index int
 	// Rates are the requests per second of all hosts, by service.
 	Rates map[string]float64
+	// Relays are the hosts to which this one may relay requests, in order of preference.
+	Relays []Relay
+
+	relaysVersion uint64 // of Relays; 0 if no coordinator has sent a list
 }
 
 // New returns a Member.
--- a/coordination/follower.go
+++ b/coordination/follower.go
@@ -140,6 +140,7 @@
 	f.member.options.SetStoreUnavailable(f.member.options.StoreUnreachable())
 	f.log.Warn("coordination: Coordinator does not answer.", "failures", f.failures, "error", err.Error())
 	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
+		f.member.recordRefusal()
 		sleep(ctx, f.member.jitter(retryInterval))
 		return f.member.takeOver(ctx, f.document)
 	}
@@ -160,6 +161,9 @@
 // it reaches the store itself. The others do not know and try less often, as
 // every call to the store has a cost.
 func (m *Member) shouldTakeOver(r *Reply, sinceAttempt time.Duration) bool {
+	if m.defersToOthers() {
+		return false
+	}
 	if m.watchGate.isOpen() && !m.options.StoreUnreachable() {
 		return r.ConfirmationAge > watcherTakeoverAge && sinceAttempt > confirmRetryInterval
 	}
@@ -218,6 +222,9 @@
 // coordinator: the document names another one or has changed in the meantime, or
 // this process has coordinated.
 func (m *Member) takeOver(ctx context.Context, failed *ownership.Document) bool {
+	if m.defersToOthers() {
+		return m.awaitSuccessor(ctx, failed)
+	}
 	if m.candidacySuspended() {
 		return m.superseded(ctx, failed)
 	}
@@ -270,6 +277,7 @@
 	r.AcceptsPacked = true
 	r.View, r.FeedVersions, r.Unconfirmed = m.State().Version, m.options.Feed.Versions(), !m.loaded()
 	r.KnownTerm = m.termBefore()
+	m.addRelayState(&r)
 	if m.watchGate.isOpen() {
 		r.Watching, r.StoreUnreachable = true, m.options.StoreUnreachable()
 		if known := m.versionsOfCoordinator(); known != nil {
@@ -293,6 +301,7 @@
 	}
 	old := m.State()
 	s := &State{View: old.apply(r.View), Coordinator: d.Coordinator, Hosts: max(1, r.Hosts), Index: r.Index, Rates: r.Rates}
+	s.Relays, s.relaysVersion = old.relaysAfter(r)
 	m.state.Store(s)
 	if s.Version != old.Version || s.Hosts != old.Hosts || s.Index != old.Index {
 		m.options.Log.Info("coordination: View changed.", "term", s.Version.Term, "number", s.Version.Number, "hosts", s.Hosts, "index", s.Index)
@@ -304,7 +313,7 @@
 func (m *Member) recordReply() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lastReply = now()
+	m.lastReply, m.refusedAt = now(), time.Time{}
 }
 
 // replyOverdue reports whether the last reply of a coordinator is so old that
