--- a/settings/edge.go
+++ b/settings/edge.go
@@ -29,6 +29,9 @@
 	MetricsAddress netip.AddrPort
 	// StoreAddress is the address of the platform's object API.
 	StoreAddress netip.AddrPort
+	// RelayAddress is the address that serves requests which other hosts pass on. The zero value means that the host
+	// neither serves nor passes on such requests.
+	RelayAddress netip.AddrPort
 	// MemoryMB is the memory available to the process, in megabytes.
 	MemoryMB int
 	// CPUShare is the CPU time available to the process, in cores; it may be a fraction.
@@ -62,6 +65,7 @@
 	ControlAddress *string  `yaml:"control_address"`
 	MetricsAddress *string  `yaml:"metrics_address"`
 	StoreAddress   *string  `yaml:"store_address"`
+	RelayAddress   *string  `yaml:"relay_address"`
 	MemoryMB       *int     `yaml:"memory_mb"`
 	CPUShare       *float64 `yaml:"cpu_share"`
 	Drain          *string  `yaml:"drain"`
@@ -113,6 +117,7 @@
 		ControlAddress: c.address("control_address", doc.ControlAddress),
 		MetricsAddress: c.address("metrics_address", doc.MetricsAddress),
 		StoreAddress:   c.address("store_address", doc.StoreAddress),
+		RelayAddress:   c.optionalAddress("relay_address", doc.RelayAddress),
 		MemoryMB:       int(c.number("memory_mb", toFloat(doc.MemoryMB), defaultMemoryMB, 16, 1<<20)),
 		CPUShare:       c.number("cpu_share", doc.CPUShare, defaultCPUShare, 0.001, 1024),
 		Drain:          c.durationBetween("drain", doc.Drain, defaultDrain, 100*time.Millisecond, time.Hour),
@@ -129,6 +134,14 @@
 	return s, nil
 }
 
+// optionalAddress returns an IP address with a port other than 0, or the zero value if it is absent.
+func (c *checker) optionalAddress(field string, v *string) netip.AddrPort {
+	if v == nil {
+		return netip.AddrPort{}
+	}
+	return c.address(field, v)
+}
+
 // toFloat converts an optional integer to an optional float64.
 func toFloat(n *int) *float64 {
 	if n == nil {
--- a/settings/edge_test.go
+++ b/settings/edge_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -31,6 +32,7 @@
 		{"invalid duration", "6s", "soon", `edge.yaml:8: shutdown: "soon" is not a duration such as 30s`},
 		{"duration below the minimum", "6s", "1ms", "edge.yaml:8: shutdown: 1ms is outside 1s to 1h0m0s"},
 		{"number below the minimum", "56", "-1", "edge.yaml:9: retry_extra: -1 is outside 0 to 1e+06"},
+		{"invalid relay address", "host: h\n", "host: h\nrelay_address: 10.0.0.1\n", `edge.yaml:2: relay_address: "10.0.0.1" is not an IP address and port`},
 		{"unknown field", "retry_extra", "retry_more", "edge.yaml:9: retry_more: is not a known field"},
 	}
 	for _, test := range tests {
@@ -61,3 +63,15 @@
 		qt.Check(t, s.FirstStart, qt.Equals, test.want)
 	}
 }
+
+func TestEdgeRelayAddress(t *testing.T) {
+	tests := []struct {
+		line string
+		want netip.AddrPort
+	}{{"", netip.AddrPort{}}, {"relay_address: \"10.0.0.1:7620\"\n", netip.MustParseAddrPort("10.0.0.1:7620")}}
+	for _, test := range tests {
+		s, err := ParseEdge("edge.yaml", []byte(edgeFile+test.line))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, s.RelayAddress, qt.Equals, test.want)
+	}
+}
