Pass requests on to other hosts while this one is cut off from all targets

A host that loses its path to all targets failed its callers' requests until the cut ended. A cut-off host without relays is not ready. The detection of the cut is a stand-in that tests set.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/redwingtally/redwingtally/exchange"
 	"github.com/redwingtally/redwingtally/platform"
+	"github.com/redwingtally/redwingtally/relay"
 	"github.com/redwingtally/redwingtally/scheduler"
 )
 
@@ -21,6 +22,9 @@
 		q.finishCancelled()
 		return true
 	}
+	if d.cutOff {
+		return false
+	}
 	if d.rejected {
 		q.finishRejected(d.rejection)
 		return true
@@ -83,7 +87,13 @@
 func (q *request) targetRequest(target string) *exchange.Request {
 	h := make(http.Header, len(q.r.Header)+2)
 	exchange.CopyEndToEndHeaders(h, q.r.Header)
+	relay.Strip(h)
 	platform.SetTargetHeaders(h, target, time.Until(q.deadline))
+	return q.outgoing(h)
+}
+
+// outgoing returns the request to send with the given headers.
+func (q *request) outgoing(h http.Header) *exchange.Request {
 	return &exchange.Request{
 		Method: q.r.Method,
 		URI:    q.r.RequestURI,
--- a/edge/control.go
+++ b/edge/control.go
@@ -55,6 +55,8 @@
 		return "no configuration"
 	case !e.feed.Loaded(platform.KindTargets):
 		return "no targets"
+	case e.cutOff() && e.relays.count() == 0:
+		return "cut off from targets"
 	}
 	return ""
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -81,9 +81,13 @@
 	rateLimits      *ratelimit.Table
 	permitsWanted   chan struct{}        // a service lacks permits for limited targets
 	ownPermits      *ratelimit.Allocator // used by getPermits while no coordinator gives out permits
+	relays          *relayPool           // other hosts that take requests while this one is cut off
+	relayServer     *relayServer         // nil if this host takes no requests from other hosts
 	initialised     chan struct{}        // closed once the configuration and the targets have been received
 	initialisedOnce sync.Once            // guards the closing of initialised
 
+	cut cutOffState
+
 	mu               sync.Mutex
 	services         map[string]*service
 	targets          *directory.Directory
@@ -118,6 +122,7 @@
 		ownPermits:    ratelimit.NewAllocator(),
 		initialised:   make(chan struct{}),
 	}
+	e.relays = newRelayPool(e)
 	e.store.Store(e.newStoreClient(s.StoreAddress))
 	e.member = coordination.New(coordination.Options{
 		Host:          s.Host,
@@ -142,7 +147,10 @@
 		StoreUnreachable:    e.ownStoreUnreachable,
 		SetStoreUnavailable: e.setStoreUnavailable,
 
-		DataCentre: s.DataCentre,
+		DataCentre:     s.DataCentre,
+		RelayAddress:   s.RelayAddress,
+		CutOff:         e.cutOff,
+		AcceptsRelayed: e.acceptsRelayed,
 	})
 	return e, e.registerServices()
 }
@@ -155,6 +163,7 @@
 		{Name: "directory", Priority: 1, Start: e.background(e.watchTargets), Dump: e.dumpTargets},
 		{Name: "coordination", Priority: 2, Start: e.background(e.member.Run), Dump: func() any { return e.member.State() }},
 		{Name: "limits", Priority: 2, Start: e.background(e.getPermits), Dump: e.dumpRateLimits},
+		{Name: "relay", Priority: 3, Start: e.startRelay},
 		{Name: "entry", Priority: 3, Start: e.startEntry},
 		{Name: "readiness", Priority: 4, Start: e.startReadiness},
 	}
@@ -284,6 +293,7 @@
 		}
 	}
 	e.mu.Unlock()
+	e.relays.setRelays(state.Relays)
 	e.updateServices()
 }
 
@@ -338,8 +348,15 @@
 		defer close(resigned)
 		e.resign(ctx)
 	}()
+	relayed := make(chan struct{})
+	go func() {
+		defer close(relayed)
+		e.drainRelay(ctx)
+	}()
 	err := e.entryServer.drain(ctx, e)
 	<-resigned
+	<-relayed
+	e.relays.close()
 	e.log.Info("edge: Stopped.", "active", e.activeRequests.Load(), "took", time.Since(started))
 	e.pool.Release()
 	return err
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -1,6 +1,11 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"github.com/redwingtally/redwingtally/coordination"
+	"github.com/redwingtally/redwingtally/routing"
+)
 
 // CloseIdle closes all idle connections of callers.
 func (e *Edge) CloseIdle() { e.entryServer.closeIdle(0) }
@@ -29,3 +34,50 @@
 
 // Coordinates reports whether the host coordinates.
 func (e *Edge) Coordinates() bool { return e.member.Leading() }
+
+// SetCutOff makes the host take itself for cut off from all targets, or not.
+func (e *Edge) SetCutOff(cutOff bool) {
+	begins := e.cutOffBegins()
+	e.cut.mu.Lock()
+	defer e.cut.mu.Unlock()
+	switch {
+	case cutOff && !e.cut.cutOff:
+		close(e.cut.begins)
+	case !cutOff && e.cut.cutOff:
+		e.cut.begins = nil
+	}
+	e.cut.cutOff = cutOff
+	_ = begins
+}
+
+// SetRelays replaces the known relays until the coordinator sends another list.
+func (e *Edge) SetRelays(relays []coordination.Relay) {
+	e.relays.mu.Lock()
+	defer e.relays.mu.Unlock()
+	e.relays.replace(relays)
+}
+
+// Relays returns the number of known relays.
+func (e *Edge) Relays() int { return e.relays.count() }
+
+// MaxRelayedRequests is the greatest number of relayed requests in progress on a host.
+const MaxRelayedRequests = maxRelayedRequests
+
+// AddRelayed changes the number of relayed requests in progress.
+func (e *Edge) AddRelayed(n int64) { e.relayServer.inProgress.Add(n) }
+
+// HideConfiguration makes the host forget its configuration.
+func (e *Edge) HideConfiguration() { e.table.Store(nil) }
+
+// CloseRelayServer closes the listener of relayed requests and their connections, as a crash of the host does.
+func (e *Edge) CloseRelayServer() error { return e.relayServer.server.Close() }
+
+// BackdateConfiguration makes the host's configuration older than it is.
+func (e *Edge) BackdateConfiguration() {
+	older := *e.table.Load().Configuration
+	older.Version--
+	e.table.Store(routing.New(&older))
+}
+
+// MaxIdleRelayConnections is the greatest number of idle connections to one relay.
+const MaxIdleRelayConnections = maxIdleRelayConnections
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -11,6 +11,7 @@
 	"github.com/redwingtally/redwingtally/exchange"
 	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/quarantine"
+	"github.com/redwingtally/redwingtally/relay"
 	"github.com/redwingtally/redwingtally/routing"
 	"github.com/redwingtally/redwingtally/scheduler"
 )
@@ -46,6 +47,10 @@
 	fingerprint quarantine.Fingerprint
 	scheduled   *scheduler.Request
 	callerRetry bool // the caller repeats a request that was rejected before
+	counted     bool // a host has counted the request for its load and its retry budget
+
+	relayed     *relay.Request // what the sender of a relayed request states; nil for a caller's request
+	triedRelays []string       // hosts that the request was passed on to
 
 	sends        int                // attempts sent to targets
 	possibleRuns int                // attempts that a target may have run
@@ -59,7 +64,7 @@
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.activeRequests.Add(1)
 	defer e.activeRequests.Add(-1)
-	q := &request{edge: e, w: w, r: r, meta: platform.ReadRequestMeta(r.Header), started: time.Now()}
+	q := e.newRequest(w, r)
 	if e.entryServer.connClosed(r) {
 		panic(http.ErrAbortHandler)
 	}
@@ -67,6 +72,16 @@
 		w.Header().Set("Connection", "close")
 	}
 	q.awaitInitialState()
+	q.handle()
+}
+
+// newRequest returns the state of a request that has just arrived.
+func (e *Edge) newRequest(w http.ResponseWriter, r *http.Request) *request {
+	return &request{edge: e, w: w, r: r, meta: platform.ReadRequestMeta(r.Header), started: time.Now()}
+}
+
+// handle handles a request and logs its end.
+func (q *request) handle() {
 	if !q.admit() {
 		return
 	}
@@ -137,6 +152,9 @@
 		Objective: q.started.Add(q.route.Objective),
 		Deadline:  q.deadline,
 	}
+	if q.relayed != nil {
+		q.applyStated()
+	}
 	return true
 }
 
@@ -175,17 +193,39 @@
 		q.reject(http.StatusServiceUnavailable, "crashes_targets", 0)
 		return
 	}
-	q.callerRetry = q.service.recordRequest(now, q.scheduled, q.meta.Timeout)
+	if q.relayed == nil {
+		q.callerRetry = q.service.detectCallerRetry(q.route.Name, q.meta.Timeout)
+	}
 	ctx, cancel := context.WithDeadline(q.r.Context(), q.deadline)
 	defer cancel()
-	for !q.attempt(ctx) {
+	for !q.step(ctx) {
 	}
 }
 
+// step sends the request once: to a target, or to another host while this one is cut
+// off from all targets. It reports whether the request is finished.
+func (q *request) step(ctx context.Context) bool {
+	if q.edge.passesOn() {
+		if q.relayed == nil {
+			return q.passOn(ctx)
+		}
+		q.finish(http.StatusServiceUnavailable, reasonCutOff, rejectedRetryAfter)
+		return true
+	}
+	if !q.counted {
+		q.counted = true
+		q.service.recordRequest(time.Now(), q.scheduled)
+	}
+	return q.attempt(ctx)
+}
+
 // reject responds with an error status and a reason. It logs requests without a
 // service itself, because ServeHTTP logs only admitted requests.
 func (q *request) reject(status int, reason string, retryAfter time.Duration) {
 	q.outcome = reason
+	if q.relayed != nil {
+		q.setResult(q.w.Header(), q.rejectionKind(status, reason))
+	}
 	writeRejection(q.w, q.meta.ID, status, reason, retryAfter)
 	q.recordMetrics(strconv.Itoa(status))
 	if q.route == nil || q.service == nil {
@@ -204,6 +244,9 @@
 // if the response is truncated, so that the caller does not take it as complete.
 func (q *request) writeResponse(resp *exchange.Response) {
 	q.outcome = "answered_" + strconv.Itoa(resp.Status)
+	if q.relayed != nil {
+		q.setResult(resp.Header, relay.Response)
+	}
 	if err := writeResponse(q.w, resp); err != nil {
 		q.err = err
 		q.abort("answer_cut_short")
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -60,7 +60,7 @@
 	s := settings.Edge{
 		Host: name, DataCentre: "leicester",
 		EntryAddress: ports.Free(h.tb), ReadyAddress: ports.Free(h.tb), ControlAddress: ports.Free(h.tb),
-		MetricsAddress: ports.Free(h.tb), StoreAddress: h.platform.Address(), MemoryMB: 256, CPUShare: 1,
+		MetricsAddress: ports.Free(h.tb), RelayAddress: ports.Free(h.tb), StoreAddress: h.platform.Address(), MemoryMB: 256, CPUShare: 1,
 		Drain: 2 * time.Second, Shutdown: 6 * time.Second, RetryRatio: 0.2, RetryExtra: 40, RetryWindow: 10 * time.Second,
 	}
 	e, err := edge.New(s, slog.New(slog.DiscardHandler))
--- a/edge/service.go
+++ b/edge/service.go
@@ -47,6 +47,7 @@
 	client    *exchange.Client
 	rejection scheduler.Rejection
 	rejected  bool
+	cutOff    bool // the host was cut off from all targets while the request was queued
 }
 
 // newService returns a service without targets.
@@ -73,10 +74,8 @@
 	return client != nil && client.HasIdle()
 }
 
-// recordRequest counts a caller's request and reports whether it repeats one that
-// was rejected before. timeout is the time for which the caller waits, as stated
-// in the request.
-func (s *service) recordRequest(now time.Time, r *scheduler.Request, timeout time.Duration) bool {
+// recordRequest counts a request for the retry budget and the load of this host.
+func (s *service) recordRequest(now time.Time, r *scheduler.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budget.RecordRequest(now)
@@ -84,12 +83,19 @@
 	if r.Keyed {
 		s.keyCounts[r.Key]++
 	}
-	return s.callerRetries.Observe(r.Route, timeout)
+}
+
+// detectCallerRetry reports whether a caller's request repeats one that was rejected
+// before. timeout is the time for which the caller waits, as stated in the request.
+func (s *service) detectCallerRetry(route string, timeout time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.callerRetries.Observe(route, timeout)
 }
 
 // acquire waits until the scheduler assigns the request a slot at a target or
-// rejects it. retry reports whether the request was sent before. acquire returns
-// false if ctx ends first.
+// rejects it, or this host is cut off and can pass it on. retry reports whether the
+// request was sent before. acquire returns false if ctx ends first.
 func (s *service) acquire(ctx context.Context, r *scheduler.Request, retry bool) (schedulerDecision, bool) {
 	decision := make(chan schedulerDecision, 1)
 	r.Value = decision
@@ -111,6 +117,7 @@
 	case d := <-decision:
 		return d, true
 	case <-ctx.Done():
+	case <-s.edge.passingOnBegins():
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,6 +127,9 @@
 			s.dispatchQueued(time.Now())
 		}
 	}
+	if ctx.Err() == nil {
+		return schedulerDecision{cutOff: true}, true
+	}
 	return schedulerDecision{}, false
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -51,6 +51,8 @@
 	SilentConnections *prometheus.CounterVec
 	// LimitedAttempts counts requests sent to targets that state a rate limit.
 	LimitedAttempts *prometheus.CounterVec
+	// RelayedRequests counts requests passed on between hosts, by side (sent or served) and result.
+	RelayedRequests *prometheus.CounterVec
 
 	registry *prometheus.Registry
 }
@@ -76,11 +78,12 @@
 		Quarantined:       counter("set_asides_total", "Requests that were set aside.", "service"),
 		SilentConnections: counter("silent_connections_total", "Connections that were found silent.", "service"),
 		LimitedAttempts:   counter("limited_attempts_total", "Requests sent to targets that state a rate limit.", "service"),
+		RelayedRequests:   counter("relayed_requests_total", "Requests passed on between hosts, by side and result.", "side", "result"),
 	}
 	s.registry.MustRegister(
 		s.Requests, s.QueueSeconds, s.ServiceSeconds, s.Retries, s.QueuedRequests, s.ShardImbalance, s.OwnershipChanges,
 		s.UnownedShards, s.UnownedSeconds, s.StoreCalls, s.ControlBytes, s.ControlHeartbeats, s.TargetConnections, s.Quarantined, s.SilentConnections,
-		s.LimitedAttempts,
+		s.LimitedAttempts, s.RelayedRequests,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return s
--- a/relay/headers.go
+++ b/relay/headers.go
@@ -92,6 +92,8 @@
 	Kind Kind
 	// Runs is the number of attempts that may have run; at least 1 for Response and Failed, and 0 otherwise.
 	Runs int
+	// Counted reports whether the relay has counted the request for its load and its retry budget.
+	Counted bool
 }
 
 // Set replaces the headers between hosts in h.
@@ -99,12 +101,13 @@
 	Strip(h)
 	h.Set(headerResult, string(r.Kind))
 	h.Set(headerAttempts, strconv.Itoa(r.Runs))
+	setFlag(h, headerCounted, r.Counted)
 }
 
 // ReadResult decodes the headers of a response. It returns ErrHeader.
 func ReadResult(h http.Header) (Result, error) {
 	var d decoder
-	r := Result{Kind: Kind(d.value(h, headerResult)), Runs: int(d.number(h, headerAttempts, 0, maxAttempts))}
+	r := Result{Kind: Kind(d.value(h, headerResult)), Runs: int(d.number(h, headerAttempts, 0, maxAttempts)), Counted: d.flag(h, headerCounted)}
 	switch r.Kind {
 	case Response, Failed:
 		if r.Runs == 0 {
--- a/relay/headers_test.go
+++ b/relay/headers_test.go
@@ -63,11 +63,11 @@
 		result Result
 		valid  bool
 	}{
-		{Result{Response, 1}, true}, {Result{Response, 2}, true}, {Result{Response, 0}, false},
-		{Result{Failed, 1}, true}, {Result{Failed, 0}, false},
-		{Result{Rejected, 0}, true}, {Result{Rejected, 1}, false},
-		{Result{NotTaken, 0}, true}, {Result{NotTaken, 1}, false},
-		{Result{"other", 0}, false}, {Result{"", 0}, false}, {Result{Response, -1}, false},
+		{Result{Kind: Response, Runs: 1}, true}, {Result{Kind: Response, Runs: 2}, true}, {Result{Kind: Response, Runs: 0}, false},
+		{Result{Kind: Failed, Runs: 1}, true}, {Result{Kind: Failed, Runs: 0}, false},
+		{Result{Kind: Rejected, Counted: true}, true}, {Result{Kind: Rejected, Runs: 1}, false},
+		{Result{Kind: NotTaken, Runs: 0}, true}, {Result{Kind: NotTaken, Runs: 1}, false},
+		{Result{Kind: "other", Runs: 0}, false}, {Result{Kind: "", Runs: 0}, false}, {Result{Kind: Response, Runs: -1}, false},
 	}
 	for _, test := range tests {
 		h := http.Header{headerResult: {"forged"}}
