--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/redwingtally/redwingtally/coordination"
+	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/routing"
 )
 
@@ -14,6 +15,10 @@
 // budget is fully available.
 func (e *Edge) BackdateStart() { e.processStart = e.processStart.Add(-time.Hour) }
 
+// SetDialTarget sets the function that opens connections to targets. It is called
+// before Start.
+func (e *Edge) SetDialTarget(dial platform.DialFunc) { e.dialTarget = dial }
+
 // TargetCount returns the number of targets in the scheduler of a service.
 func (e *Edge) TargetCount(service string) int {
 	s := e.service(service)
