Relaying: drop idle connections to a relay that refuses, and more tests

A relay that stops refuses requests until it closes its connections; a sender that kept idle ones could send a request into that close. It now closes them with the first refusal.

go test ./edge -run 'Relay|CutOff|Queued|Stopping|Passed|Refused' passes (39 s).

--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -86,3 +86,11 @@
 
 // MaxIdleRelayConnections is the greatest number of idle connections to one relay.
 const MaxIdleRelayConnections = maxIdleRelayConnections
+
+// RequestRate returns the requests per second of a service that the host has counted.
+func (e *Edge) RequestRate(service string) float64 {
+	s := e.service(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rate.value(time.Now())
+}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -67,7 +67,7 @@
 		return q.handleRelayError(ctx, ticket, client, attempts, eris.Wrapf(exchange.ErrInvalidResponse, "status %d: %v", response.Status, err))
 	}
 	q.counted = q.counted || result.Counted
-	return q.handleRelayResponse(ctx, ticket, response, result)
+	return q.handleRelayResponse(ctx, ticket, client, response, result)
 }
 
 // attemptsLeft returns how many further attempts of the request may run.
@@ -132,10 +132,11 @@
 
 // handleRelayResponse handles the response of a relay. It reports whether the request
 // is finished.
-func (q *request) handleRelayResponse(ctx context.Context, t relay.Ticket, resp *exchange.Response, result relay.Result) bool {
+func (q *request) handleRelayResponse(ctx context.Context, t relay.Ticket, client *exchange.Client, resp *exchange.Response, result relay.Result) bool {
 	outcome := relay.Answered
-	if result.Kind == relay.NotTaken && !result.Counted {
+	if result.Kind == relay.NotTaken && !result.Counted { // it takes no requests at all, and may be stopping
 		outcome = relay.Refused
+		client.CloseIdle()
 	}
 	q.edge.relays.done(t, outcome)
 	q.possibleRuns += result.Runs
--- /dev/null
+++ b/edge/relayharness_test.go
@@ -0,0 +1,158 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/redwingtally/redwingtally/coordination"
+	"github.com/redwingtally/redwingtally/internal/standin"
+	"github.com/redwingtally/redwingtally/platform"
+)
+
+// knowRelays makes every host know the others as relays.
+func (h *harness) knowRelays() {
+	for i, e := range h.edges {
+		var relays []coordination.Relay
+		for j, s := range h.settings {
+			if i != j {
+				relays = append(relays, coordination.Relay{Host: s.Host, Address: s.RelayAddress, DataCentre: s.DataCentre})
+			}
+		}
+		e.SetRelays(relays)
+	}
+}
+
+// relayedCount returns how many requests a host has passed on ("sent") or has received from other hosts ("served"),
+// with one of the given results or with any.
+func (h *harness) relayedCount(host int, side string, results ...string) int {
+	resp, err := http.Get("http://" + h.settings[host].MetricsAddress.String() + "/metrics")
+	qt.Assert(h.tb, err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	n := 0
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		labels, value, _ := strings.Cut(strings.TrimPrefix(lines.Text(), "redwingtally_relayed_requests_total"), " ")
+		if labels == lines.Text() || !strings.Contains(labels, `side="`+side+`"`) {
+			continue
+		}
+		match := len(results) == 0
+		for _, r := range results {
+			match = match || strings.Contains(labels, `result="`+r+`"`)
+		}
+		if count, err := strconv.Atoi(value); err == nil && match {
+			n += count
+		}
+	}
+	return n
+}
+
+// relayHarness is a harness with an idempotent service and one whose requests run at most once. Its hosts know
+// each other as relays.
+type relayHarness struct {
+	*harness
+	servers []*standin.Server
+}
+
+// Paths of the services.
+const (
+	idempotentPath = "/holders/1"
+	oncePath       = "/confirm/1"
+	keyedPath      = "/keyed/1"
+)
+
+func newRelayHarness(tb testing.TB, hosts int, change ...func(*platform.Route)) *relayHarness {
+	h := &relayHarness{harness: newHarness(tb, hosts)}
+	for _, o := range []standin.ServerOptions{
+		{Name: "a", Service: "stock", Slots: 8}, {Name: "b", Service: "stock", Slots: 8},
+		{Name: "d", Service: "deposits", Slots: 8}, {Name: "e", Service: "deposits", Slots: 8},
+	} {
+		h.servers = append(h.servers, h.server(o))
+	}
+	h.configure([]platform.Route{
+		route("stock", "/holders/", platform.Idempotent, change...), route("deposits", "/confirm/", platform.AtMostOnce, change...),
+	}, plain("stock"), plain("deposits"))
+	for host := range hosts {
+		h.waitServing(host, idempotentPath)
+		h.waitServing(host, oncePath)
+	}
+	h.knowRelays()
+	return h
+}
+
+// addKeyed adds a keyed service.
+func (h *relayHarness) addKeyed() {
+	h.servers = append(h.servers, h.server(standin.ServerOptions{Name: "f", Service: "accounts", Slots: 8, Keyed: true}))
+	h.configure([]platform.Route{
+		route("stock", "/holders/", platform.Idempotent), route("deposits", "/confirm/", platform.AtMostOnce),
+		route("accounts", "/keyed/", platform.AtMostOnce),
+	}, plain("stock"), plain("deposits"), keyed("accounts"))
+	for host := range h.edges {
+		h.eventually("keyed", func() bool { return h.do(call{host: host, path: keyedPath, key: key(7)}).status == http.StatusOK })
+	}
+}
+
+// runs returns how often a request ran.
+func (h *relayHarness) runs(got response) int { return len(requestRuns(got.id, h.servers...)) }
+
+// A countingProxy passes connections on and counts them.
+type countingProxy struct {
+	address      netip.AddrPort
+	open, opened atomic.Int64
+}
+
+func newCountingProxy(tb testing.TB, to netip.AddrPort) *countingProxy {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	qt.Assert(tb, err, qt.IsNil)
+	tb.Cleanup(func() { _ = ln.Close() })
+	p := &countingProxy{address: netip.MustParseAddrPort(ln.Addr().String())}
+	go func() {
+		for {
+			near, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.open.Add(1)
+			p.opened.Add(1)
+			go func() {
+				defer p.open.Add(-1)
+				defer func() { _ = near.Close() }()
+				far, err := net.Dial("tcp4", to.String())
+				if err != nil {
+					return
+				}
+				defer func() { _ = far.Close() }()
+				go func() { _, _ = io.Copy(near, far) }()
+				_, _ = io.Copy(far, near) // ends when the sender closes the connection
+			}()
+		}
+	}()
+	return p
+}
+
+// recordingTarget starts a target that sends the headers of each request to the result.
+func (h *harness) recordingTarget(name, service string) chan http.Header {
+	received := make(chan http.Header, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		received <- r.Header
+		platform.SetResponseMeta(w.Header(), name, platform.ResponseMeta{ID: platform.ReadRequestMeta(r.Header).ID, Signed: true})
+	}))
+	h.tb.Cleanup(server.Close)
+	entry, err := platform.EncodeTarget(platform.Target{
+		Name: name, StartedAt: time.Now(), Service: service, Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Slots: 2,
+	}, 1)
+	qt.Assert(h.tb, err, qt.IsNil)
+	_, err = h.store.Put(context.Background(), platform.KindTargets, name, entry, platform.Unconditional())
+	qt.Assert(h.tb, err, qt.IsNil)
+	return received
+}
