Pass hanging attempts of repeatable requests on when the cut is found

Requests that were at a target when the host lost its path waited for their deadline, although another host could have served them. When the host is found to be cut off, it gives up the attempts of idempotent requests that have an attempt left, as far as the retry budget allows, and passes the requests on. Others stay with their targets.

TestHangingAttemptsArePassedOn: served within 500 ms of a 1.2 s time-out; requests that may run once still end at the deadline with 504.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -34,7 +34,9 @@
 	}
 	q.sends++
 	sent := time.Now()
-	response, err := d.client.Do(ctx, q.targetRequest(d.dispatch.Target.Name))
+	attemptCtx, ended := q.interruptible(ctx)
+	response, err := d.client.Do(attemptCtx, q.targetRequest(d.dispatch.Target.Name))
+	interrupted := ended()
 	result := scheduler.Result{Outcome: classifyOutcome(response, err), ResponseTime: time.Since(sent)}
 	if err == nil {
 		q.recordRateLimit(d, response)
@@ -43,6 +45,10 @@
 	if result.Outcome == scheduler.TimedOut {
 		d.client.CloseIdle()
 	}
+	if err != nil && interrupted && ctx.Err() == nil {
+		q.handleInterrupted(d, err)
+		return false
+	}
 	if err != nil {
 		return q.handleError(ctx, d, err)
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -83,6 +83,7 @@
 	permitsWanted   chan struct{}        // a service lacks permits for limited targets
 	ownPermits      *ratelimit.Allocator // used by getPermits while no coordinator gives out permits
 	relays          *relayPool           // other hosts that take requests while this one is cut off
+	interrupts      interrupts           // attempts to give up when this host is cut off
 	relayServer     *relayServer         // nil if this host takes no requests from other hosts
 	initialised     chan struct{}        // closed once the configuration and the targets have been received
 	initialisedOnce sync.Once            // guards the closing of initialised
@@ -125,6 +126,7 @@
 		initialised:   make(chan struct{}),
 	}
 	e.relays = newRelayPool(e)
+	e.interrupts.attempts = map[*request]*interruptible{}
 	e.store.Store(e.newStoreClient(s.StoreAddress))
 	e.member = coordination.New(coordination.Options{
 		Host:          s.Host,
@@ -166,6 +168,7 @@
 		{Name: "coordination", Priority: 2, Start: e.background(e.member.Run), Dump: func() any { return e.member.State() }},
 		{Name: "limits", Priority: 2, Start: e.background(e.getPermits), Dump: e.dumpRateLimits},
 		{Name: "relay", Priority: 3, Start: e.startRelay},
+		{Name: "interrupts", Priority: 3, Start: e.background(e.interruptAttempts)},
 		{Name: "entry", Priority: 3, Start: e.startEntry},
 		{Name: "readiness", Priority: 4, Start: e.startReadiness},
 	}
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -93,6 +94,36 @@
 	}
 }
 
+// Attempts that hang when the cut begins are given up if their requests may run again and the budget allows it,
+// and the requests are passed on. The others stay with their targets.
+func TestHangingAttemptsArePassedOn(t *testing.T) {
+	tests := []struct {
+		path     string
+		attempts int
+		status   int
+	}{{idempotentPath, 2, http.StatusOK}, {idempotentPath, 1, http.StatusGatewayTimeout}, {oncePath, 2, http.StatusGatewayTimeout}}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.path, test.attempts), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			h := newNetworkedRelayHarness(t, 2, func(r *platform.Route) { r.Timeout, r.Attempts = 1200*time.Millisecond, test.attempts })
+			h.cutOffTargets(0, hang)
+			responses, began := make(chan response, 1), time.Now()
+			go func() { responses <- h.do(call{path: test.path}) }()
+			h.eventually("in progress", func() bool { return h.edges[0].ActiveRequests() > 0 })
+			time.Sleep(50 * time.Millisecond) // the request is sent
+			h.edges[0].SetCutOff(true)
+			got := <-responses
+			c.Check(got.status, qt.Equals, test.status, qt.Commentf("%s", got.body))
+			c.Check(time.Since(began) < 500*time.Millisecond, qt.Equals, test.status == http.StatusOK, qt.Commentf("%s", time.Since(began)))
+			c.Check(h.runs(got) <= test.attempts, qt.IsTrue)
+			if test.path == oncePath {
+				c.Check(h.runs(got) <= 1, qt.IsTrue)
+			}
+		})
+	}
+}
+
 // A response that a target truncates does not look complete to the caller of the sender.
 func TestTruncatedRelayedResponseIsIncomplete(t *testing.T) {
 	h := newRelayHarness(t, 2)
@@ -116,6 +147,7 @@
 	}{{oncePath, http.StatusBadGateway}, {idempotentPath, http.StatusOK}}
 	for _, test := range tests {
 		t.Run(test.path, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			h := newRelayHarness(t, 3)
 			h.edges[0].SetCutOff(true)
@@ -163,6 +195,7 @@
 func TestStoppingHostsCutNoRelayedRequest(t *testing.T) {
 	for stopping, name := range []string{"sender", "relay"} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			h := newRelayHarness(t, 3)
 			h.edges[0].SetCutOff(true)
--- a/edge/relayharness_test.go
+++ b/edge/relayharness_test.go
@@ -72,7 +72,16 @@
 )
 
 func newRelayHarness(tb testing.TB, hosts int, change ...func(*platform.Route)) *relayHarness {
-	h := &relayHarness{harness: newHarness(tb, hosts)}
+	return fillRelayHarness(newHarness(tb, hosts), change...)
+}
+
+// newNetworkedRelayHarness is newRelayHarness for tests that cut hosts off from the targets.
+func newNetworkedRelayHarness(tb testing.TB, hosts int, change ...func(*platform.Route)) *relayHarness {
+	return fillRelayHarness(newHarness(tb, hosts, withTargetNetworks), change...)
+}
+
+func fillRelayHarness(plainHarness *harness, change ...func(*platform.Route)) *relayHarness {
+	h := &relayHarness{harness: plainHarness}
 	for _, o := range []standin.ServerOptions{
 		{Name: "a", Service: "stock", Slots: 8}, {Name: "b", Service: "stock", Slots: 8},
 		{Name: "d", Service: "deposits", Slots: 8}, {Name: "e", Service: "deposits", Slots: 8},
@@ -82,7 +91,7 @@
 	h.configure([]platform.Route{
 		route("stock", "/holders/", platform.Idempotent, change...), route("deposits", "/confirm/", platform.AtMostOnce, change...),
 	}, plain("stock"), plain("deposits"))
-	for host := range hosts {
+	for host := range h.edges {
 		h.waitServing(host, idempotentPath)
 		h.waitServing(host, oncePath)
 	}
--- a/edge/relayserver_test.go
+++ b/edge/relayserver_test.go
@@ -56,6 +56,7 @@
 func TestAttemptsOfRelayedRequestsAreBounded(t *testing.T) {
 	for _, attempts := range []int{1, 2, 3} {
 		t.Run(fmt.Sprint(attempts), func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			h := newRelayHarness(t, 4, func(r *platform.Route) { r.Attempts = attempts })
 			h.edges[0].SetCutOff(true)
@@ -92,6 +93,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			h := newRelayHarness(t, 4)
 			h.edges[0].SetCutOff(true)
