Keep the relays of hosts when a coordinator stops soon after it began

A new coordinator leaves the lists of relays alone until all hosts have reported. It took their number from the document, which a predecessor of less than a second had written before the others reported, so it gave its own host a list without relays: a cut-off host answered 503 cut_off although a relay was there (1 of 5 runs of TestStoppingHostsCutNoRelayedRequest/relay).

--- a/coordination/relaylists_test.go
+++ b/coordination/relaylists_test.go
@@ -245,6 +245,7 @@
 		{"has another", newRelayLeader(hosts, dataCentres), version + 1, hosts, 0, true},
 		{"all other relays are gone", newRelayLeader(1, 1), version, 1, 0, true},
 		{"new coordinator, some hosts have not reported", newRelayLeader(hosts-9, dataCentres), version, hosts, 0, false},
+		{"new coordinator whose document counts too few hosts", hostsKnownBefore(newRelayLeader(1, 1), hosts), version, 1, 0, false},
 		{"new coordinator, sender has no relay", newRelayLeader(hosts-9, dataCentres), noRelaysVersion, hosts, 0, true},
 		{"new coordinator, sender has no list", newRelayLeader(hosts-9, dataCentres), 0, hosts, 0, true},
 		{"some hosts are lost", newRelayLeader(hosts-9, dataCentres), version, hosts, relaySettleTime, true},
@@ -258,6 +259,12 @@
 	}
 }
 
+// hostsKnownBefore sets the number of hosts that the leader's host knew when the term started.
+func hostsKnownBefore(l *leader, hosts int) *leader {
+	l.hostsBefore = hosts
+	return l
+}
+
 // An earlier build sends nothing about relays. It gets no list, also if its host is cut off.
 func TestEarlierBuildsGetNoRelays(t *testing.T) {
 	c := qt.New(t)
