--- a/edge/edge.go
+++ b/edge/edge.go
@@ -353,6 +353,9 @@
 	started := time.Now()
 	e.draining.Store(true)
 	e.log.Info("edge: Stopping.", "active", e.activeRequests.Load())
+	if e.relaying() {
+		e.member.ReportNow() // other hosts stop passing requests on to this one
+	}
 	resigned := make(chan struct{})
 	go func() {
 		defer close(resigned)
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -78,7 +78,7 @@
 	h.configure([]platform.Route{route("stock", "/holders/", platform.AtMostOnce)}, plain("stock"))
 	h.waitServing(0, "/holders/1")
 	h.waitServing(1, "/holders/1")
-	h.knowRelays()
+	h.awaitRelays()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for range 6 {
@@ -240,7 +240,7 @@
 		h.configure([]platform.Route{route("stock", "/holders/", platform.AtMostOnce)}, plain("stock"))
 		h.waitServing(0, idempotentPath)
 		h.waitServing(1, idempotentPath)
-		h.knowRelays()
+		h.awaitRelays()
 		h.edges[0].SetCutOff(cutOff)
 		for len(received) > 0 {
 			<-received
@@ -259,6 +259,7 @@
 func TestReadinessOfACutOffHost(t *testing.T) {
 	c := qt.New(t)
 	h := newRelayHarness(t, 2)
+	h.isolate(0)
 	h.edges[0].SetCutOff(true)
 	c.Check(h.readyStatus(0), qt.Equals, http.StatusOK)
 	h.edges[0].SetRelays(nil)
@@ -275,6 +276,7 @@
 func TestRelayConnectionsAreBounded(t *testing.T) {
 	c := qt.New(t)
 	h := newRelayHarness(t, 2)
+	h.isolate(0)
 	proxy := newCountingProxy(t, h.settings[1].RelayAddress)
 	h.edges[0].SetRelays([]coordination.Relay{{Host: h.settings[1].Host, Address: proxy.address}})
 	h.edges[0].SetCutOff(true)
--- a/edge/relayharness_test.go
+++ b/edge/relayharness_test.go
@@ -16,24 +16,20 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/redwingtally/redwingtally/coordination"
 	"github.com/redwingtally/redwingtally/internal/standin"
 	"github.com/redwingtally/redwingtally/platform"
 )
 
-// knowRelays makes every host know the others as relays.
-func (h *harness) knowRelays() {
-	for i, e := range h.edges {
-		var relays []coordination.Relay
-		for j, s := range h.settings {
-			if i != j {
-				relays = append(relays, coordination.Relay{Host: s.Host, Address: s.RelayAddress, DataCentre: s.DataCentre})
-			}
-		}
-		e.SetRelays(relays)
+// awaitRelays waits until every host knows all others as relays.
+func (h *harness) awaitRelays() {
+	for _, e := range h.edges {
+		h.eventually("the other hosts are known as relays", func() bool { return e.Relays() == len(h.edges)-1 })
 	}
 }
 
+// isolate ends the background work of a host, so that it keeps the relays that it knows.
+func (h *harness) isolate(host int) { h.cancels[host]() }
+
 // relayedCount returns how many requests a host has passed on ("sent") or has received from other hosts ("served"),
 // with one of the given results or with any.
 func (h *harness) relayedCount(host int, side string, results ...string) int {
@@ -95,7 +91,7 @@
 		h.waitServing(host, idempotentPath)
 		h.waitServing(host, oncePath)
 	}
-	h.knowRelays()
+	h.awaitRelays()
 	return h
 }
 
--- a/edge/relayserver_test.go
+++ b/edge/relayserver_test.go
@@ -96,6 +96,7 @@
 			t.Parallel()
 			c := qt.New(t)
 			h := newRelayHarness(t, 4)
+			h.isolate(0) // it does not learn which relays have left
 			h.edges[0].SetCutOff(true)
 			test.prepare(h, 1)
 			test.prepare(h, 2)
@@ -120,7 +121,8 @@
 func TestCutOffHostsDoNotPassRequestsAround(t *testing.T) {
 	c := qt.New(t)
 	h := newRelayHarness(t, 3)
-	for _, e := range h.edges {
+	for i, e := range h.edges {
+		h.isolate(i) // it does not learn that the others are cut off
 		e.SetCutOff(true)
 	}
 	for i := range 9 {
