Tests for the guards of relaying that had none

Of 20 mutations of the code for relaying, 6 were not detected: the attempts of a lost relay, one hop for a relay that is cut off midway, the time left, counting a request once, a streamed body and the promise of a rejection after a possible run.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -66,7 +66,6 @@
 		response.Close()
 		return q.handleRelayError(ctx, ticket, client, attempts, eris.Wrapf(exchange.ErrInvalidResponse, "status %d: %v", response.Status, err))
 	}
-	q.counted = q.counted || result.Counted
 	return q.handleRelayResponse(ctx, ticket, client, response, result)
 }
 
@@ -140,6 +139,7 @@
 	}
 	q.edge.relays.done(t, outcome)
 	q.possibleRuns += result.Runs
+	q.counted = q.counted || result.Counted
 	switch result.Kind {
 	case relay.NotTaken:
 		resp.Close()
--- a/edge/relayserver_test.go
+++ b/edge/relayserver_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -194,6 +195,56 @@
 	})
 }
 
+// A long body that one relay refuses does not reach the other one without its beginning.
+func TestRefusedStreamedBodyIsNotSentOn(t *testing.T) {
+	c := qt.New(t)
+	h := newRelayHarness(t, 3)
+	h.edges[0].SetCutOff(true)
+	h.edges[2].AddRelayed(edge.MaxRelayedRequests)
+	h.eventually("refused", func() bool {
+		got := h.do(call{path: oncePath, method: http.MethodPost, body: strings.Repeat("x", 3<<20)})
+		c.Check(got.err, qt.IsNil)
+		c.Check(got.status == http.StatusOK || got.status == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("%d %s", got.status, got.body))
+		c.Check(h.runs(got) == 1, qt.Equals, got.status == http.StatusOK)
+		return h.relayedCount(0, "sent", "not_taken") > 2
+	})
+}
+
+// A relay that is cut off while a request waits there gives it back, and another relay serves it.
+func TestRelayIsCutOffMidway(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(t, 3)
+	a := h.server(standin.ServerOptions{Name: "a", Service: "stock", Slots: 1})
+	h.configure([]platform.Route{route("stock", "/holders/", platform.AtMostOnce)}, plain("stock"))
+	for host := range h.edges {
+		h.waitServing(host, idempotentPath)
+	}
+	h.awaitRelays()
+	h.edges[0].SetCutOff(true)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var responses []response
+	for range 8 {
+		wg.Go(func() {
+			got := h.do(call{path: idempotentPath, headers: map[string]string{standin.ServiceTimeHeader: "150ms"}})
+			mu.Lock()
+			defer mu.Unlock()
+			responses = append(responses, got)
+		})
+	}
+	h.eventually("relayed", func() bool { return h.edges[1].ActiveRequests() > 2 })
+	time.Sleep(50 * time.Millisecond) // the requests reach the queue
+	h.edges[1].SetCutOff(true)
+	h.eventually("given back", func() bool { return h.relayedCount(1, "served", "not_taken") > 0 })
+	wg.Wait()
+	c.Check(h.relayedCount(1, "sent"), qt.Equals, 0, qt.Commentf("a relayed request is not relayed again"))
+	runs := runCounts(a)
+	for _, got := range responses {
+		c.Check(runs[got.id] <= 1, qt.IsTrue)
+		c.Check(runs[got.id] == 1, qt.Equals, got.status == http.StatusOK, qt.Commentf("%d %s", got.status, got.body))
+	}
+}
+
 // Only the relay counts a relayed request for the load of its host.
 func TestRelayedRequestsAreCountedOnce(t *testing.T) {
 	c := qt.New(t)
@@ -206,3 +257,16 @@
 	c.Check(h.edges[0].RequestRate("deposits") < before0, qt.IsTrue)
 	c.Check(h.edges[1].RequestRate("deposits") > before1+5, qt.IsTrue)
 }
+
+// A request counts once for the load and the retry budget of its host, however often it is sent.
+func TestRetriedRequestsAreCountedOnce(t *testing.T) {
+	c := qt.New(t)
+	h := newRelayHarness(t, 1, func(r *platform.Route) { r.Attempts = 3 })
+	for _, s := range h.servers {
+		s.SetFaults(standin.ServerFaults{ErrorShare: 1})
+	}
+	before := h.edges[0].RequestRate("stock")
+	got := h.do(call{path: idempotentPath})
+	c.Check(h.runs(got), qt.Equals, 3)
+	c.Check(h.edges[0].RequestRate("stock") < before+0.5, qt.IsTrue, qt.Commentf("one request adds a third"))
+}
