--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -17,7 +17,8 @@
 // attempt waits for a slot and sends the request to one target. It reports
 // whether the request is finished.
 func (q *request) attempt(ctx context.Context) bool {
-	d, ok := q.service.acquire(ctx, q.scheduled, q.sends > 0)
+	d, ok := q.service.acquire(ctx, q.scheduled, q.queued)
+	q.queued = true
 	if !ok {
 		q.finishCancelled()
 		return true
@@ -34,10 +35,13 @@
 	}
 	q.sends++
 	sent := time.Now()
-	attemptCtx, ended := q.interruptible(ctx)
-	response, err := d.client.Do(attemptCtx, q.targetRequest(d.dispatch.Target.Name))
-	interrupted := ended()
+	target := d.dispatch.Target.Name
+	q.edge.path.sent(target)
+	attemptCtx, detach := q.attemptContext(ctx)
+	response, err := d.client.Do(attemptCtx, q.targetRequest(target))
+	detach()
 	result := scheduler.Result{Outcome: classifyOutcome(response, err), ResponseTime: time.Since(sent)}
+	q.edge.path.exchanged(ctx, target, result.ResponseTime, response, err)
 	if err == nil {
 		q.recordRateLimit(d, response)
 	}
@@ -45,10 +49,6 @@
 	if result.Outcome == scheduler.TimedOut {
 		d.client.CloseIdle()
 	}
-	if err != nil && interrupted && ctx.Err() == nil {
-		q.handleInterrupted(d, err)
-		return false
-	}
 	if err != nil {
 		return q.handleError(ctx, d, err)
 	}
@@ -139,13 +139,21 @@
 		q.possibleRuns++
 	}
 	switch {
+	case eris.Is(err, exchange.ErrCancelled) && ctx.Err() == nil:
+		// Only attemptContext has ended: the host is cut off.
+		if q.takeRetry(ctx, true) {
+			q.logRetry(d, "cut_off", nil)
+			return false
+		}
+		q.finish(http.StatusBadGateway, "cut_off", 0)
+		return true
 	case eris.Is(err, exchange.ErrCancelled), eris.Is(err, exchange.ErrTimeout), ctx.Err() != nil:
 		// The deadline of the connection can expire before ctx reports the same deadline.
 		q.finishCancelled()
 		return true
 	case eris.Is(err, exchange.ErrRequestBody):
 		q.abort("body_broke_off")
-	case !ran && ctx.Err() == nil && q.body.rest == nil && q.sends < maxSends:
+	case !ran && ctx.Err() == nil && q.body.rest == nil && (q.sends < maxSends || q.edge.cutOff()):
 		// No target received the request, so this retry is not charged to the budget.
 		q.logRetry(d, "not_sent", err)
 		return false
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -38,6 +38,7 @@
 	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/quarantine"
 	"github.com/redwingtally/redwingtally/ratelimit"
+	"github.com/redwingtally/redwingtally/reachability"
 	"github.com/redwingtally/redwingtally/routing"
 	"github.com/redwingtally/redwingtally/settings"
 )
@@ -81,15 +82,13 @@
 	rateLimits      *ratelimit.Table
 	dialTarget      platform.DialFunc    // opens the connections to targets
 	permitsWanted   chan struct{}        // a service lacks permits for limited targets
+	path            *pathToTargets       // whether this host is cut off from the targets
 	ownPermits      *ratelimit.Allocator // used by getPermits while no coordinator gives out permits
 	relays          *relayPool           // other hosts that take requests while this one is cut off
-	interrupts      interrupts           // attempts to give up when this host is cut off
 	relayServer     *relayServer         // nil if this host takes no requests from other hosts
 	initialised     chan struct{}        // closed once the configuration and the targets have been received
 	initialisedOnce sync.Once            // guards the closing of initialised
 
-	cut cutOffState
-
 	mu               sync.Mutex
 	services         map[string]*service
 	targets          *directory.Directory
@@ -122,11 +121,11 @@
 		rateLimits:    ratelimit.NewTable(),
 		dialTarget:    platform.Dial,
 		permitsWanted: make(chan struct{}, 1),
+		path:          newPathToTargets(),
 		ownPermits:    ratelimit.NewAllocator(),
 		initialised:   make(chan struct{}),
 	}
 	e.relays = newRelayPool(e)
-	e.interrupts.attempts = map[*request]*interruptible{}
 	e.store.Store(e.newStoreClient(s.StoreAddress))
 	e.member = coordination.New(coordination.Options{
 		Host:          s.Host,
@@ -139,6 +138,7 @@
 		CollectReport: e.loadReport,
 		Targets:       e.coordinationTargets,
 		StateUpdated:  e.applyView,
+		OrderResult:   e.path.orderResult,
 		Random:        e.random,
 
 		TakeoverDelay: takeoverDelay(s.CPUShare),
@@ -166,9 +166,9 @@
 		{Name: "configuration", Priority: 1, Start: e.background(e.watchConfiguration), Dump: e.dumpConfiguration},
 		{Name: "directory", Priority: 1, Start: e.background(e.watchTargets), Dump: e.dumpTargets},
 		{Name: "coordination", Priority: 2, Start: e.background(e.member.Run), Dump: func() any { return e.member.State() }},
+		{Name: "reachability", Priority: 2, Start: e.background(e.probeTargets), Dump: e.dumpReachability},
 		{Name: "limits", Priority: 2, Start: e.background(e.getPermits), Dump: e.dumpRateLimits},
 		{Name: "relay", Priority: 3, Start: e.startRelay},
-		{Name: "interrupts", Priority: 3, Start: e.background(e.interruptAttempts)},
 		{Name: "entry", Priority: 3, Start: e.startEntry},
 		{Name: "readiness", Priority: 4, Start: e.startReadiness},
 	}
@@ -278,15 +278,20 @@
 	current := targetsState{table, e.targets.Version(), e.targets.UsableCount(now)}
 	changed := current != e.passedTargets
 	e.passedTargets = current
+	count := 0
 	for _, spec := range table.Configuration.Services {
 		s := e.serviceLocked(spec.Name)
 		if changed {
 			targets := e.targets.ServiceTargets(now, spec.Name)
+			count += len(targets)
 			s.setTargets(now, spec, targets, load.hosts)
 			s.setRateLimits(now, e.rateLimits.ByName(targets))
 		}
 		s.setLoad(now, load)
 	}
+	if changed {
+		e.path.update(false, func(t *reachability.Tracker) { t.SetTargets(count) })
+	}
 }
 
 // applyView applies a changed coordination view. It adopts the fingerprints that
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"github.com/redwingtally/redwingtally/coordination"
@@ -40,19 +41,21 @@
 // Coordinates reports whether the host coordinates.
 func (e *Edge) Coordinates() bool { return e.member.Leading() }
 
-// SetCutOff makes the host take itself for cut off from all targets, or not.
+// CutOff reports whether the host is found to be cut off from the targets.
+func (e *Edge) CutOff() bool { return e.cutOff() }
+
+// SetCutOff makes the host take itself for cut off from all targets, or not. It can reach them all the same.
 func (e *Edge) SetCutOff(cutOff bool) {
-	begins := e.cutOffBegins()
-	e.cut.mu.Lock()
-	defer e.cut.mu.Unlock()
-	switch {
-	case cutOff && !e.cut.cutOff:
-		close(e.cut.begins)
-	case !cutOff && e.cut.cutOff:
-		e.cut.begins = nil
+	p := e.path
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent.Store(cutOff)
+	p.lost.Store(cutOff)
+	if cutOff {
+		p.lose()
+	} else {
+		p.intact, p.lose = context.WithCancel(context.Background())
 	}
-	e.cut.cutOff = cutOff
-	_ = begins
 }
 
 // SetRelays replaces the known relays until the coordinator sends another list.
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -52,6 +52,7 @@
 	relayed     *relay.Request // what the sender of a relayed request states; nil for a caller's request
 	triedRelays []string       // hosts that the request was passed on to
 
+	queued       bool               // the scheduler has received the request
 	sends        int                // attempts sent to targets
 	possibleRuns int                // attempts that a target may have run
 	queueTime    time.Duration      // time from the arrival at the scheduler to the first attempt
@@ -205,7 +206,7 @@
 // step sends the request once: to a target, or to another host while this one is cut
 // off from all targets. It reports whether the request is finished.
 func (q *request) step(ctx context.Context) bool {
-	if q.edge.passesOn() {
+	if q.edge.cutOff() {
 		if q.relayed == nil {
 			return q.passOn(ctx)
 		}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -24,17 +24,6 @@
 // relaying reports whether this host passes requests on and takes those of other hosts.
 func (e *Edge) relaying() bool { return e.settings.RelayAddress.IsValid() }
 
-// passesOn reports whether this host cannot send requests to targets and passes them on.
-func (e *Edge) passesOn() bool { return e.relaying() && e.cutOff() }
-
-// passingOnBegins returns a channel that is closed when the host begins to pass requests on.
-func (e *Edge) passingOnBegins() <-chan struct{} {
-	if !e.relaying() {
-		return nil
-	}
-	return e.cutOffBegins()
-}
-
 // passOn passes the request on to one relay. It reports whether the request is
 // finished.
 func (q *request) passOn(ctx context.Context) bool {
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -121,7 +121,6 @@
 	{"ed-relay-rest", "edge/relay.go", "if q.body.rest == nil {", "if true {", "./edge"},
 	{"ed-relay-promise", "edge/relay.go", "if q.possibleRuns > 0 { // an earlier", "if false { // an earlier", "./edge"},
 	{"ed-relay-response", "edge/relay.go", "q.possibleRuns += result.Runs", "", "./edge"},
-	{"ed-interrupt", "edge/interrupt.go", "platform.Idempotent || last {", "platform.Idempotent || last && false {", "./edge"},
 	{"re-result", "relay/headers.go", `d.fail(headerResult, string(r.Kind))`, "", "./relay"},
 	{"re-once", "relay/headers.go", "if len(h[name]) != 1 {", "if len(h[name]) == 0 {", "./relay"},
 	{"re-pause", "relay/selector.go", "if paused { // the failures", "if false { // the failures", "./relay"},
