Tests of relaying run in parallel where time is not checked

A test of the cut itself (TestHarnessCutsOneHostOff) turns relaying off, since a relay would serve its requests.

--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -38,6 +38,7 @@
 	requests atomic.Int64
 	cancels  []context.CancelFunc // end the background work of each host
 
+	relayless bool             // the hosts do not relay requests
 	networked bool             // the hosts reach the targets through networks
 	networks  []*targetNetwork // by host; empty unless networked
 }
@@ -69,6 +70,9 @@
 		MetricsAddress: ports.Free(h.tb), RelayAddress: ports.Free(h.tb), StoreAddress: h.platform.Address(), MemoryMB: 256, CPUShare: 1,
 		Drain: 2 * time.Second, Shutdown: 6 * time.Second, RetryRatio: 0.2, RetryExtra: 40, RetryWindow: 10 * time.Second,
 	}
+	if h.relayless {
+		s.RelayAddress = netip.AddrPort{}
+	}
 	e, err := edge.New(s, slog.New(slog.DiscardHandler))
 	qt.Assert(h.tb, err, qt.IsNil)
 	e.BackdateStart()
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -21,6 +21,7 @@
 // A host that is cut off serves its callers through another host. Every request runs
 // once, and the whole response arrives.
 func TestCutOffHostServesThroughRelay(t *testing.T) {
+	t.Parallel()
 	h := newRelayHarness(t, 3)
 	h.addKeyed()
 	h.edges[0].SetCutOff(true)
@@ -72,6 +73,7 @@
 
 // Requests that wait for a slot when the cut begins are passed on at once.
 func TestQueuedRequestsArePassedOn(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	h := newHarness(t, 2)
 	a := h.server(standin.ServerOptions{Name: "a", Service: "stock", Slots: 1})
@@ -131,6 +133,7 @@
 
 // A response that a target truncates does not look complete to the caller of the sender.
 func TestTruncatedRelayedResponseIsIncomplete(t *testing.T) {
+	t.Parallel()
 	h := newRelayHarness(t, 2)
 	h.edges[0].SetCutOff(true)
 	for _, s := range h.servers {
@@ -237,6 +240,7 @@
 
 // Headers between hosts that a caller sends have no effect and reach no target.
 func TestCallersCannotSendRelayHeaders(t *testing.T) {
+	t.Parallel()
 	forged := map[string]string{
 		"Relay-Configuration": "999", "Relay-Attempts": "9", "Relay-Counted": "1", "Relay-Caller-Retry": "1", "Relay-Result": "response", "Relay-Elapsed-Ms": "5",
 	}
@@ -281,6 +285,7 @@
 
 // The connections between hosts are bounded, and are closed when their relay leaves the list.
 func TestRelayConnectionsAreBounded(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	h := newRelayHarness(t, 2)
 	h.isolate(0)
--- a/edge/relayharness_test.go
+++ b/edge/relayharness_test.go
@@ -27,6 +27,9 @@
 	}
 }
 
+// withoutRelays turns relaying off.
+func withoutRelays(h *harness) { h.relayless = true }
+
 // isolate ends the background work of a host, so that it keeps the relays that it knows.
 func (h *harness) isolate(host int) { h.cancels[host]() }
 
--- a/edge/relayserver_test.go
+++ b/edge/relayserver_test.go
@@ -143,6 +143,7 @@
 
 // A rejection by the relay because of load is passed on and not tried elsewhere.
 func TestRejectionsOfRelaysArePassedOn(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	h := newRelayHarness(t, 3)
 	h.addKeyed()
@@ -175,6 +176,7 @@
 // A long body whose relay refuses the request is not sent to another one, as its beginning is gone. The caller learns
 // that the request has not run.
 func TestRefusedStreamedBody(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	h := newRelayHarness(t, 3)
 	h.edges[0].SetCutOff(true)
@@ -197,6 +199,7 @@
 
 // A long body that one relay refuses does not reach the other one without its beginning.
 func TestRefusedStreamedBodyIsNotSentOn(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	h := newRelayHarness(t, 3)
 	h.edges[0].SetCutOff(true)
@@ -212,6 +215,7 @@
 
 // A relay that is cut off while a request waits there gives it back, and another relay serves it.
 func TestRelayIsCutOffMidway(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	h := newHarness(t, 3)
 	a := h.server(standin.ServerOptions{Name: "a", Service: "stock", Slots: 1})
@@ -247,6 +251,7 @@
 
 // Only the relay counts a relayed request for the load of its host.
 func TestRelayedRequestsAreCountedOnce(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	h := newRelayHarness(t, 2)
 	h.edges[0].SetCutOff(true)
@@ -260,6 +265,7 @@
 
 // A request counts once for the load and the retry budget of its host, however often it is sent.
 func TestRetriedRequestsAreCountedOnce(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	h := newRelayHarness(t, 1, func(r *platform.Route) { r.Attempts = 3 })
 	for _, s := range h.servers {
--- a/edge/targetnetwork_test.go
+++ b/edge/targetnetwork_test.go
@@ -312,7 +312,7 @@
 // The harness cuts one host off from the targets, and the other host goes on.
 func TestHarnessCutsOneHostOff(t *testing.T) {
 	c := qt.New(t)
-	h := newHarness(t, 2, withTargetNetworks)
+	h := newHarness(t, 2, withTargetNetworks, withoutRelays)
 	h.server(standin.ServerOptions{Name: "a", Service: "stock"})
 	h.configure([]platform.Route{route("stock", "/items/", platform.Idempotent)}, plain("stock"))
 	h.waitServing(0, "/items/1")
