Decode grants in a test of package coordination with package platform

TestPlatformNamesAppearOnlyInThisPackage failed, as cutoffkeys_test.go named a field of the platform. The stand-in now uses platform.DecodeGrant.

go test ./platform and ./coordination -run 'CutOff|Keys' pass.

--- a/coordination/cutoffkeys_test.go
+++ b/coordination/cutoffkeys_test.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"encoding/json"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -32,21 +31,18 @@
 
 // serve carries out a grant.
 func (s *cutTarget) serve(w http.ResponseWriter, r *http.Request) {
-	var grant struct {
-		Fence  uint64 `json:"fence"`
-		HoldMS int64  `json:"holdMs"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&grant); err != nil {
+	grant, err := platform.DecodeGrant(r.Body)
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
-	cut := grant.Fence <= s.cutFence
-	if !cut && grant.HoldMS > 0 && grant.Fence >= s.fence {
+	cut := grant.FencingToken <= s.cutFence
+	if !cut && grant.TTL > 0 && grant.FencingToken >= s.fence {
 		if t := time.Now(); !s.heldUntil.IsZero() && t.After(s.heldUntil) {
 			s.gap = max(s.gap, t.Sub(s.heldUntil))
 		}
-		s.fence, s.heldUntil = grant.Fence, time.Now().Add(time.Duration(grant.HoldMS)*time.Millisecond)
+		s.fence, s.heldUntil = grant.FencingToken, time.Now().Add(grant.TTL)
 	}
 	s.mu.Unlock()
 	if cut {
