--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -10,15 +10,13 @@
 
 	"github.com/redwingtally/redwingtally/exchange"
 	"github.com/redwingtally/redwingtally/platform"
+	"github.com/redwingtally/redwingtally/relay"
 	"github.com/redwingtally/redwingtally/scheduler"
 )
 
-// attempt waits for a slot and sends the request to one target. A host that is cut off
-// from the targets passes it on instead. attempt reports whether the request is finished.
+// attempt waits for a slot and sends the request to one target. It reports
+// whether the request is finished.
 func (q *request) attempt(ctx context.Context) bool {
-	if q.edge.cutOff() {
-		return q.passOn(ctx)
-	}
 	d, ok := q.service.acquire(ctx, q.scheduled, q.queued)
 	q.queued = true
 	if !ok {
@@ -95,7 +93,13 @@
 func (q *request) targetRequest(target string) *exchange.Request {
 	h := make(http.Header, len(q.r.Header)+2)
 	exchange.CopyEndToEndHeaders(h, q.r.Header)
+	relay.Strip(h)
 	platform.SetTargetHeaders(h, target, time.Until(q.deadline))
+	return q.outgoing(h)
+}
+
+// outgoing returns the request to send with the given headers.
+func (q *request) outgoing(h http.Header) *exchange.Request {
 	return &exchange.Request{
 		Method: q.r.Method,
 		URI:    q.r.RequestURI,
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -84,6 +84,8 @@
 	permitsWanted   chan struct{}        // a service lacks permits for limited targets
 	path            *pathToTargets       // whether this host is cut off from the targets
 	ownPermits      *ratelimit.Allocator // used by getPermits while no coordinator gives out permits
+	relays          *relayPool           // other hosts that take requests while this one is cut off
+	relayServer     *relayServer         // nil if this host takes no requests from other hosts
 	initialised     chan struct{}        // closed once the configuration and the targets have been received
 	initialisedOnce sync.Once            // guards the closing of initialised
 
@@ -123,6 +125,7 @@
 		ownPermits:    ratelimit.NewAllocator(),
 		initialised:   make(chan struct{}),
 	}
+	e.relays = newRelayPool(e)
 	e.store.Store(e.newStoreClient(s.StoreAddress))
 	e.member = coordination.New(coordination.Options{
 		Host:          s.Host,
@@ -148,7 +151,10 @@
 		StoreUnreachable:    e.ownStoreUnreachable,
 		SetStoreUnavailable: e.setStoreUnavailable,
 
-		DataCentre: s.DataCentre,
+		DataCentre:     s.DataCentre,
+		RelayAddress:   s.RelayAddress,
+		CutOff:         e.cutOff,
+		AcceptsRelayed: e.acceptsRelayed,
 	})
 	return e, e.registerServices()
 }
@@ -162,6 +168,7 @@
 		{Name: "coordination", Priority: 2, Start: e.background(e.member.Run), Dump: func() any { return e.member.State() }},
 		{Name: "reachability", Priority: 2, Start: e.background(e.probeTargets), Dump: e.dumpReachability},
 		{Name: "limits", Priority: 2, Start: e.background(e.getPermits), Dump: e.dumpRateLimits},
+		{Name: "relay", Priority: 3, Start: e.startRelay},
 		{Name: "entry", Priority: 3, Start: e.startEntry},
 		{Name: "readiness", Priority: 4, Start: e.startReadiness},
 	}
@@ -301,6 +308,7 @@
 		}
 	}
 	e.mu.Unlock()
+	e.relays.setRelays(state.Relays)
 	e.updateServices()
 }
 
@@ -350,13 +358,23 @@
 	started := time.Now()
 	e.draining.Store(true)
 	e.log.Info("edge: Stopping.", "active", e.activeRequests.Load())
+	if e.relaying() {
+		e.member.ReportNow() // other hosts stop passing requests on to this one
+	}
 	resigned := make(chan struct{})
 	go func() {
 		defer close(resigned)
 		e.resign(ctx)
 	}()
+	relayed := make(chan struct{})
+	go func() {
+		defer close(relayed)
+		e.drainRelay(ctx)
+	}()
 	err := e.entryServer.drain(ctx, e)
 	<-resigned
+	<-relayed
+	e.relays.close()
 	e.log.Info("edge: Stopped.", "active", e.activeRequests.Load(), "took", time.Since(started))
 	e.pool.Release()
 	return err
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"context"
 	"time"
 
+	"github.com/redwingtally/redwingtally/coordination"
 	"github.com/redwingtally/redwingtally/platform"
+	"github.com/redwingtally/redwingtally/routing"
 )
 
 // CloseIdle closes all idle connections of callers.
@@ -40,3 +43,57 @@
 
 // CutOff reports whether the host is found to be cut off from the targets.
 func (e *Edge) CutOff() bool { return e.cutOff() }
+
+// SetCutOff makes the host take itself for cut off from all targets, or not. It can reach them all the same.
+func (e *Edge) SetCutOff(cutOff bool) {
+	p := e.path
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent.Store(cutOff)
+	p.lost.Store(cutOff)
+	if cutOff {
+		p.lose()
+	} else {
+		p.intact, p.lose = context.WithCancel(context.Background())
+	}
+}
+
+// SetRelays replaces the known relays until the coordinator sends another list.
+func (e *Edge) SetRelays(relays []coordination.Relay) {
+	e.relays.mu.Lock()
+	defer e.relays.mu.Unlock()
+	e.relays.replace(relays)
+}
+
+// Relays returns the number of known relays.
+func (e *Edge) Relays() int { return e.relays.count() }
+
+// MaxRelayedRequests is the greatest number of relayed requests in progress on a host.
+const MaxRelayedRequests = maxRelayedRequests
+
+// AddRelayed changes the number of relayed requests in progress.
+func (e *Edge) AddRelayed(n int64) { e.relayServer.inProgress.Add(n) }
+
+// HideConfiguration makes the host forget its configuration.
+func (e *Edge) HideConfiguration() { e.table.Store(nil) }
+
+// CloseRelayServer closes the listener of relayed requests and their connections, as a crash of the host does.
+func (e *Edge) CloseRelayServer() error { return e.relayServer.server.Close() }
+
+// BackdateConfiguration makes the host's configuration older than it is.
+func (e *Edge) BackdateConfiguration() {
+	older := *e.table.Load().Configuration
+	older.Version--
+	e.table.Store(routing.New(&older))
+}
+
+// MaxIdleRelayConnections is the greatest number of idle connections to one relay.
+const MaxIdleRelayConnections = maxIdleRelayConnections
+
+// RequestRate returns the requests per second of a service that the host has counted.
+func (e *Edge) RequestRate(service string) float64 {
+	s := e.service(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rate.value(time.Now())
+}
--- a/edge/reachability.go
+++ b/edge/reachability.go
@@ -220,6 +220,7 @@
 		e.log.Info("reachability: Host has targets again.", "targets", before.Targets, "age", before.Age, "probes", p.probes)
 	}
 	p.probes = 0
+	_ = e.submit(e.member.ReportNow) // submit returns no error; other hosts learn whether this one serves them
 }
 
 // A probeCandidate is a target that may be probed.
--- a/edge/service.go
+++ b/edge/service.go
@@ -74,10 +74,8 @@
 	return client != nil && client.HasIdle()
 }
 
-// recordRequest counts a caller's request and reports whether it repeats one that
-// was rejected before. timeout is the time for which the caller waits, as stated
-// in the request.
-func (s *service) recordRequest(now time.Time, r *scheduler.Request, timeout time.Duration) bool {
+// recordRequest counts a request for the retry budget and the load of this host.
+func (s *service) recordRequest(now time.Time, r *scheduler.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budget.RecordRequest(now)
@@ -85,7 +83,14 @@
 	if r.Keyed {
 		s.keyCounts[r.Key]++
 	}
-	return s.callerRetries.Observe(r.Route, timeout)
+}
+
+// detectCallerRetry reports whether a caller's request repeats one that was rejected
+// before. timeout is the time for which the caller waits, as stated in the request.
+func (s *service) detectCallerRetry(route string, timeout time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.callerRetries.Observe(route, timeout)
 }
 
 // acquire waits until the scheduler assigns the request a slot at a target or
