Take connections that overloaded targets close for no cut

Callers would see: 503 cut_off from every host while targets reset connections beyond their limit. Cause: a probe whose connection is closed at once counted as failed, also while targets answered on open connections; the idle connections of the hosts then kept the targets at their limit, so that no probe opened. Change: such probes decide nothing for half a second after a response, and a host that is cut off closes its idle connections. Two rows of TestRules fail without it; the tests of hosts that are cut off pass.

--- a/edge/path_test.go
+++ b/edge/path_test.go
@@ -23,7 +23,7 @@
 		t.DialFailed("b")
 	})
 	for e.path.probesDue() > 0 {
-		e.recordProbes(0, 2)
+		e.recordProbes(0, 0, 2)
 	}
 }
 
@@ -31,7 +31,7 @@
 func endCut(e *Edge) {
 	for e.cutOff() {
 		if e.path.probesDue() > 0 {
-			e.recordProbes(1, 0)
+			e.recordProbes(1, 0, 0)
 		}
 		time.Sleep(10 * time.Millisecond) // the next probe is due after half a second
 	}
--- a/edge/reachability.go
+++ b/edge/reachability.go
@@ -164,26 +164,29 @@
 // probe makes n probes at the same time, or fewer if there are not as many targets.
 func (e *Edge) probe(ctx context.Context, n int) {
 	clients := e.chooseProbes(n)
-	results := make(chan bool, len(clients))
+	results := make(chan error, len(clients))
 	for _, client := range clients {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
-			results <- client.Probe(ctx) == nil
+			results <- client.Probe(ctx)
 		}()
 	}
-	succeeded := 0
+	succeeded, closed := 0, 0
 	for range clients {
-		opened := <-results
-		e.countProbes(opened)
-		if opened {
+		err := <-results
+		e.countProbes(err == nil)
+		switch {
+		case err == nil:
 			succeeded++
+		case eris.Is(err, exchange.ErrClosedAtOnce):
+			closed++
 		}
 	}
 	if ctx.Err() != nil {
 		return // the daemon ends
 	}
-	e.recordProbes(succeeded, len(clients)-succeeded)
+	e.recordProbes(succeeded, closed, len(clients)-succeeded-closed)
 }
 
 // countProbes counts a probe by its result.
@@ -196,20 +199,21 @@
 }
 
 // recordProbes records the results of probes, and begins or ends the cut accordingly.
-func (e *Edge) recordProbes(succeeded, failed int) {
+func (e *Edge) recordProbes(succeeded, closed, failed int) {
 	p := e.path
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	before := p.tracker.State(now)
-	p.probes += succeeded + failed
-	if !p.tracker.RecordProbes(now, succeeded, failed) {
+	p.probes += succeeded + closed + failed
+	if !p.tracker.RecordProbes(now, succeeded, closed, failed) {
 		return
 	}
 	if p.tracker.CutOff() {
 		p.silent.Store(p.tracker.Silent(now))
 		p.lost.Store(true)
 		p.lose()
+		_ = e.submit(e.closeIdleConnections) // submit returns no error; they may count towards limits of targets
 		e.metrics.CutOff.WithLabelValues().Set(1)
 		e.log.Warn("reachability: Host has lost all targets.", "targets", before.Targets, "failed", before.Failed,
 			"dials_failed", before.DialsFailed, "waiting", before.Waiting, "silence", before.Silence, "probes", p.probes)
@@ -223,6 +227,15 @@
 	_ = e.submit(e.member.ReportNow) // submit returns no error; other hosts learn whether this one serves them
 }
 
+// closeIdleConnections closes the idle connections to all targets.
+func (e *Edge) closeIdleConnections() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.services {
+		s.closeIdle()
+	}
+}
+
 // A probeCandidate is a target that may be probed.
 type probeCandidate struct {
 	target platform.Target
--- a/edge/service.go
+++ b/edge/service.go
@@ -265,6 +265,15 @@
 	return max(own/max(all, own), equal*minShareFactor)
 }
 
+// closeIdle closes the idle connections to the targets.
+func (s *service) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, client := range s.clients {
+		client.CloseIdle()
+	}
+}
+
 // meanResponseTime returns the mean response time of the service's requests.
 func (s *service) meanResponseTime() time.Duration {
 	s.mu.Lock()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -38,6 +38,8 @@
 	ErrUnreachable = eris.New("exchange: target cannot be reached")
 	// ErrNoListener reports that no process listens at the address; nothing was sent.
 	ErrNoListener = eris.New("exchange: nothing listens at the target's address")
+	// ErrClosedAtOnce reports that the target, or a host between, accepted a connection and closed it before a request was sent.
+	ErrClosedAtOnce = eris.New("exchange: connection was closed at once")
 	// ErrNotSent reports that the exchange ended before any byte of the request was sent.
 	ErrNotSent = eris.New("exchange: request was not sent")
 	// ErrConnectionFailed reports that the connection failed; the request may have run.
@@ -158,7 +160,7 @@
 }
 
 // Probe opens a connection, adds it to the pool if it is still open after probeSettleTime,
-// and returns an error otherwise.
+// and returns ErrClosedAtOnce if it is not.
 func (c *Client) Probe(ctx context.Context) error {
 	conn, err := dial(ctx, c.dialFunc, c.Address)
 	if err != nil {
@@ -172,7 +174,7 @@
 	}
 	if !conn.reusable() {
 		conn.close()
-		return eris.Wrapf(ErrUnreachable, "%s: connection was closed at once", c.Address)
+		return eris.Wrapf(ErrClosedAtOnce, "%s", c.Address)
 	}
 	c.pool.Put(conn)
 	return nil
--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -30,8 +30,8 @@
 //	t.Responded(now) // or t.Failed(now, target)
 //	t.Ended(target)
 //	if n := t.ProbesDue(now); n > 0 {
-//		succeeded := probe(n)
-//		if t.RecordProbes(now, succeeded, n-succeeded) { report(t.CutOff()) }
+//		succeeded, closed := probe(n)
+//		if t.RecordProbes(now, succeeded, closed, n-succeeded-closed) { report(t.CutOff()) }
 //	}
 package reachability
 
@@ -50,6 +50,9 @@
 	roundSize = 4
 	// endRoundSize is the number of probes of a round that checks whether a cut has ended.
 	endRoundSize = 3
+	// answeredLately is the age of a response up to which connections that are closed at once are put down to targets that
+	// have too many.
+	answeredLately = 500 * time.Millisecond
 	// quickRound is the time below which failed probes were refused, by ended processes maybe, and did not time out.
 	quickRound = 150 * time.Millisecond
 	// cutOffProbeInterval is the time from one probe of a host that is cut off to the next.
@@ -220,13 +223,13 @@
 	return n
 }
 
-// RecordProbes records the results of the probes that were due. It reports whether they
-// change the result of CutOff.
-func (t *Tracker) RecordProbes(now time.Time, succeeded, failed int) (changed bool) {
+// RecordProbes records the results of the probes that were due: the numbers of connections that opened, were
+// closed at once, and failed to open. It reports whether they change the result of CutOff.
+func (t *Tracker) RecordProbes(now time.Time, succeeded, closed, failed int) (changed bool) {
 	kind := t.round
 	t.round, t.ended = noRound, now
 	switch {
-	case succeeded+failed == 0:
+	case succeeded+closed+failed == 0:
 		t.nextRound = now.Add(minBackoff)
 	case kind == cutOffProbe && succeeded > 0:
 		t.due = endRound
@@ -237,6 +240,8 @@
 		t.nextRound = t.started.Add(cutOffProbeInterval)
 	case succeeded > 0:
 		t.endSuspicion(now)
+	case closed > 0 && now.Sub(t.responded) < answeredLately:
+		t.nextRound = t.responded.Add(answeredLately) // overloaded targets close new connections and respond on open ones
 	case kind == suspicionRound && (now.Sub(t.started) < quickRound || t.started.Sub(t.responded) < recentResponse):
 		t.due = confirmingRound
 	case kind == suspicionRound, kind == confirmingRound:
--- a/reachability/reachability_test.go
+++ b/reachability/reachability_test.go
@@ -154,17 +154,19 @@
 			}
 		}
 	}
-	succeeded, d := 0, roundTrip
+	succeeded, closed, d := 0, 0, roundTrip
 	for _, target := range chosen {
 		switch l := r.lossNow(); {
 		case l == hang || l == hangNew:
 			d = probeTimeout
+		case l == reset && !r.isCrashed(target):
+			closed++
 		case l == none && !r.isCrashed(target):
 			succeeded++
 		}
 	}
 	r.after(d, func(now time.Time) {
-		if !r.tracker.RecordProbes(now, succeeded, n-succeeded) {
+		if !r.tracker.RecordProbes(now, succeeded, closed, n-succeeded-closed) {
 			return
 		}
 		if r.tracker.CutOff() {
