Relay responses of targets that lack the request ID

Callers would see: 504 at the deadline for a failure that a target sends without an ID, and the relay paused. Cause: a response without an ID belongs to no request on a reused connection, and connections to relays are reused. Found in review. Change: the relay adds the ID and says so; the sender removes it again.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -51,6 +51,9 @@
 	}
 	result, err := relay.ReadResult(response.Header)
 	relay.Strip(response.Header)
+	if result.IDAdded {
+		platform.RemoveRequestID(response.Header)
+	}
 	if err != nil {
 		response.Close()
 		return q.handleRelayError(ctx, ticket, client, attempts, eris.Wrapf(exchange.ErrInvalidResponse, "status %d: %v", response.Status, err))
--- a/edge/relayserver.go
+++ b/edge/relayserver.go
@@ -150,6 +150,10 @@
 // that is stopping closes the connection after the response.
 func (q *request) setResult(h http.Header, kind relay.Kind) {
 	result := relay.Result{Kind: kind, Counted: q.counted && !q.relayed.Counted}
+	if kind == relay.Response && platform.ReadRequestMeta(h).ID == "" {
+		platform.SetRequestID(h, q.meta.ID) // connections to relays are reused, on which responses must have one
+		result.IDAdded = true
+	}
 	if kind == relay.Response || kind == relay.Failed {
 		result.Runs = max(1, q.possibleRuns)
 	}
--- a/relay/headers.go
+++ b/relay/headers.go
@@ -17,12 +17,13 @@
 	headerAttempts      = "Relay-Attempts" // allowed attempts of a request, or those that may have run
 	headerElapsed       = "Relay-Elapsed-Ms"
 	headerCounted       = "Relay-Counted"
+	headerIDAdded       = "Relay-Id-Added"
 	headerCallerRetry   = "Relay-Caller-Retry"
 	headerResult        = "Relay-Result"
 )
 
 // headers holds the names of all headers between hosts.
-var headers = []string{headerConfiguration, headerAttempts, headerElapsed, headerCounted, headerCallerRetry, headerResult}
+var headers = []string{headerConfiguration, headerAttempts, headerElapsed, headerCounted, headerCallerRetry, headerResult, headerIDAdded}
 
 const (
 	// maxAttempts and maxElapsed bound the values that are accepted.
@@ -94,6 +95,8 @@
 	Runs int
 	// Counted reports whether the relay has counted the request for its load and its retry budget.
 	Counted bool
+	// IDAdded reports whether the relay has added the request ID to a response without one.
+	IDAdded bool
 }
 
 // Set replaces the headers between hosts in h.
@@ -102,12 +105,16 @@
 	h.Set(headerResult, string(r.Kind))
 	h.Set(headerAttempts, strconv.Itoa(r.Runs))
 	setFlag(h, headerCounted, r.Counted)
+	setFlag(h, headerIDAdded, r.IDAdded)
 }
 
 // ReadResult decodes the headers of a response. It returns ErrHeader.
 func ReadResult(h http.Header) (Result, error) {
 	var d decoder
-	r := Result{Kind: Kind(d.value(h, headerResult)), Runs: int(d.number(h, headerAttempts, 0, maxAttempts)), Counted: d.flag(h, headerCounted)}
+	r := Result{
+		Kind: Kind(d.value(h, headerResult)), Runs: int(d.number(h, headerAttempts, 0, maxAttempts)), Counted: d.flag(h, headerCounted),
+		IDAdded: d.flag(h, headerIDAdded),
+	}
 	switch r.Kind {
 	case Response, Failed:
 		if r.Runs == 0 {
