Pause a relay only if it takes no requests at all

Callers would see: 503 cut_off although relays serve. Cause: a request that the sender had counted and a relay could not serve, such as one of a service without targets, looked like one that the relay refused unseen; the relay was paused for all services and its connections were closed. Found in review, by reading. No test fails without it yet.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -59,6 +59,8 @@
 	fallback     *exchange.Response // 5xx response of the last retried attempt, sent if the retries yield no response to pass on
 	outcome      string
 	err          error
+
+	relayUnavailable bool // this host takes no relayed requests
 }
 
 // ServeHTTP handles a caller's request.
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -125,7 +125,7 @@
 // is finished.
 func (q *request) handleRelayResponse(ctx context.Context, t relay.Ticket, client *exchange.Client, resp *exchange.Response, result relay.Result) bool {
 	outcome := relay.Answered
-	if result.Kind == relay.NotTaken && !result.Counted { // it takes no requests at all, and may be stopping
+	if result.Unavailable { // it may be stopping
 		outcome = relay.Refused
 		client.CloseIdle()
 	}
--- a/relay/headers.go
+++ b/relay/headers.go
@@ -17,13 +17,14 @@
 	headerAttempts      = "Relay-Attempts" // allowed attempts of a request, or those that may have run
 	headerElapsed       = "Relay-Elapsed-Ms"
 	headerCounted       = "Relay-Counted"
+	headerUnavailable   = "Relay-Unavailable"
 	headerIDAdded       = "Relay-Id-Added"
 	headerCallerRetry   = "Relay-Caller-Retry"
 	headerResult        = "Relay-Result"
 )
 
 // headers holds the names of all headers between hosts.
-var headers = []string{headerConfiguration, headerAttempts, headerElapsed, headerCounted, headerCallerRetry, headerResult, headerIDAdded}
+var headers = []string{headerConfiguration, headerAttempts, headerElapsed, headerCounted, headerCallerRetry, headerResult, headerUnavailable, headerIDAdded}
 
 const (
 	// maxAttempts and maxElapsed bound the values that are accepted.
@@ -95,6 +96,8 @@
 	Runs int
 	// Counted reports whether the relay has counted the request for its load and its retry budget.
 	Counted bool
+	// Unavailable reports whether the relay takes no requests at all for now.
+	Unavailable bool
 	// IDAdded reports whether the relay has added the request ID to a response without one.
 	IDAdded bool
 }
@@ -105,6 +108,7 @@
 	h.Set(headerResult, string(r.Kind))
 	h.Set(headerAttempts, strconv.Itoa(r.Runs))
 	setFlag(h, headerCounted, r.Counted)
+	setFlag(h, headerUnavailable, r.Unavailable)
 	setFlag(h, headerIDAdded, r.IDAdded)
 }
 
@@ -113,7 +117,7 @@
 	var d decoder
 	r := Result{
 		Kind: Kind(d.value(h, headerResult)), Runs: int(d.number(h, headerAttempts, 0, maxAttempts)), Counted: d.flag(h, headerCounted),
-		IDAdded: d.flag(h, headerIDAdded),
+		Unavailable: d.flag(h, headerUnavailable), IDAdded: d.flag(h, headerIDAdded),
 	}
 	switch r.Kind {
 	case Response, Failed:
