Check again after a round of probes that took too long

Callers would see: one host pass all its requests on after it was suspended. Cause: the time-outs of probes run out while the host is suspended, and one round that timed out was proof of a cut. Found in review. A row of TestRules fails without it.

--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -53,6 +53,8 @@
 	// answeredLately is the age of a response up to which connections that are closed at once are put down to targets that
 	// have too many.
 	answeredLately = 500 * time.Millisecond
+	// slowRound is the time above which the host itself may have been suspended during a round.
+	slowRound = 600 * time.Millisecond
 	// quickRound is the time below which failed probes were refused, by ended processes maybe, and did not time out.
 	quickRound = 150 * time.Millisecond
 	// cutOffProbeInterval is the time from one probe of a host that is cut off to the next.
@@ -226,7 +228,7 @@
 // RecordProbes records the results of the probes that were due: the numbers of connections that opened, were
 // closed at once, and failed to open. It reports whether they change the result of CutOff.
 func (t *Tracker) RecordProbes(now time.Time, succeeded, closed, failed int) (changed bool) {
-	kind := t.round
+	kind, took := t.round, now.Sub(t.started)
 	t.round, t.ended = noRound, now
 	switch {
 	case succeeded+closed+failed == 0:
@@ -242,7 +244,7 @@
 		t.endSuspicion(now)
 	case closed > 0 && now.Sub(t.responded) < answeredLately:
 		t.nextRound = t.responded.Add(answeredLately) // overloaded targets close new connections and respond on open ones
-	case kind == suspicionRound && (now.Sub(t.started) < quickRound || t.started.Sub(t.responded) < recentResponse):
+	case kind == suspicionRound && (took < quickRound || took > slowRound || t.started.Sub(t.responded) < recentResponse):
 		t.due = confirmingRound
 	case kind == suspicionRound, kind == confirmingRound:
 		t.setCutOff(now, true)
--- a/reachability/rules_test.go
+++ b/reachability/rules_test.go
@@ -117,6 +117,7 @@
 		{"connections are closed at once, answers go on", 9, []step{
 			failed(0, "a", "b"), closedRound(0, 22*ms, 4), responded(30 * ms), failed(40*ms, "a", "b"), closedRound(40*ms, 22*ms, 4), responded(70 * ms),
 		}, 80 * ms, 0, false},
+		{"host suspended during a round", 9, []step{failed(0, "a", "b"), round(0, 5*time.Second, 0, 4)}, 5 * time.Second, 4, false},
 		{"one probe opens", 9, []step{failed(0, "a", "b"), round(0, 300*ms, 1, 3), failed(301*ms, "a", "b")}, 1299 * ms, 0, false},
 		{"one probe opens, after the backoff", 9, []step{failed(0, "a", "b"), round(0, 300*ms, 1, 3), failed(301*ms, "a", "b")}, 1300 * ms, 4, false},
 		{"backoff doubles", 9, []step{failed(0, "a", "b"), round(0, 0, 4, 0), failed(0, "a", "b"), round(1000*ms, 0, 4, 0), failed(1000*ms, "a", "b")}, 2999 * ms, 0, false},
