--- a/reachability/rules_test.go
+++ b/reachability/rules_test.go
@@ -112,10 +112,10 @@
 		{"probes are refused", 9, []step{failed(0, "a", "b"), round(0, ms, 0, 4)}, ms, 4, false},
 		{"probes are refused twice", 9, []step{failed(0, "a", "b"), round(0, ms, 0, 4), round(ms, ms, 0, 4)}, 2 * ms, 0, true},
 		{"probes are refused, then one opens", 9, []step{failed(0, "a", "b"), round(0, ms, 0, 4), round(ms, ms, 1, 3)}, 2 * ms, 0, false},
-		{"connections are closed at once, others answered", 9, []step{failed(0, "a", "b"), responded(1 * ms), failed(2*ms, "a", "b"), closedRound(2*ms), closedRound(502*ms)}, 524 * ms, 4, false},
-		{"connections are closed at once, then nothing responds", 9, []step{responded(0), failed(2*ms, "a", "b"), closedRound(2*ms), closedRound(500*ms), closedRound(522*ms)}, 544 * ms, 0, true},
+		{"connections are closed at once, others answered", 9, []step{failed(0, "a", "b"), responded(1 * ms), failed(2*ms, "a", "b"), closedRound(2 * ms), closedRound(502 * ms)}, 524 * ms, 4, false},
+		{"connections are closed at once, then nothing responds", 9, []step{responded(0), failed(2*ms, "a", "b"), closedRound(2 * ms), closedRound(500 * ms), closedRound(522 * ms)}, 544 * ms, 0, true},
 		{"connections are closed at once, answers go on", 9, []step{
-			failed(0, "a", "b"), closedRound(0), responded(30 * ms), failed(40*ms, "a", "b"), closedRound(40*ms), responded(70 * ms),
+			failed(0, "a", "b"), closedRound(0), responded(30 * ms), failed(40*ms, "a", "b"), closedRound(40 * ms), responded(70 * ms),
 		}, 80 * ms, 0, false},
 		{"host suspended during a round", 9, []step{failed(0, "a", "b"), round(0, 5*time.Second, 0, 4)}, 5 * time.Second, 4, false},
 		{"one probe opens", 9, []step{failed(0, "a", "b"), round(0, 300*ms, 1, 3), failed(301*ms, "a", "b")}, 1299 * ms, 0, false},
