--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -241,7 +241,7 @@
 	{"ow-unanswered", "ownership/orders.go", "return f.released && f.fenced && !now.Before(f.unansweredUntil)", "return f.released && f.fenced", "./ownership"},
 	{"ow-released", "ownership/orders.go", "return f.released && f.fenced && !now.Before(f.unansweredUntil)", "return f.fenced && !now.Before(f.unansweredUntil)", "./ownership"},
 	{"ow-mayhold", "ownership/orders.go", "if c.incarnation(f.Incarnation).ended || !now.Before(f.possiblyHeldUntil) {", "if c.incarnation(f.Incarnation).ended || !now.Before(f.possiblyHeldUntil.Add(-2*time.Second)) {", "./ownership"},
-	{"ow-restart", "ownership/ownership.go", `named.StartedAt.After(i.StartedAt) && named.Address != i.Address:`, "named.StartedAt.After(i.StartedAt):", "./ownership"},
+	{"ow-restart", "ownership/liveness.go", `named.StartedAt.After(i.StartedAt) && named.Address != i.Address:`, "named.StartedAt.After(i.StartedAt):", "./ownership"},
 	{"ow-restart-again", "ownership/plan.go", "if c := restartedOwner(st, candidates); c != nil {", "if c := restartedOwner(st, candidates); c != nil && false {", "./ownership"},
 	{"ow-restart-wait", "ownership/orders.go", "if !f.replacedBy(st.Owner) && !c.cleared(now, f) {", "if !c.cleared(now, f) {", "./ownership"},
 	{"ow-restart-same", "ownership/orders.go", "return f.samePlace(owner) && !f.SameAs(owner)", "return f.samePlace(owner)", "./ownership"},
@@ -250,7 +250,7 @@
 	{"ow-restart-over", "ownership/orders.go", "return v.ended || v.restarted", "return v.ended", "./ownership"},
 	{"ow-restart-tokens", "ownership/orders.go", `	c.withdrawFencing(now, to)
 `, "", "./ownership"},
-	{"ow-restart-fenced", "ownership/ownership.go", `					f.fenced = false
+	{"ow-restart-fenced", "ownership/liveness.go", `					f.fenced = false
 `, "", "./ownership"},
 	{"ow-vacant", "ownership/orders.go", "|| !c.formersCleared(now, st) {", "{", "./ownership"},
 	{"ow-moving", "ownership/orders.go", "st.orderPending || st.moving || st.needsNewFence", "st.orderPending || st.needsNewFence", "./ownership"},
@@ -271,8 +271,8 @@
 	{"ow-punans", "ownership/ownership.go", `					f.unansweredUntil = hold
 `, "", "./ownership"},
 	{"ow-slack", "ownership/ownership.go", "float64(c.options.HoldTime)*(1+maxClockDrift)) + holdMargin", "float64(c.options.HoldTime))", "./ownership"},
-	{"ow-es-unans", "ownership/ownership.go", "f.possiblyHeldUntil, f.unansweredUntil = earlier(f.possiblyHeldUntil, hold), later(f.unansweredUntil, hold)", "f.possiblyHeldUntil = earlier(f.possiblyHeldUntil, hold)", "./ownership"},
-	{"ow-es-unans2", "ownership/ownership.go", "st.possiblyHeldUntil, st.staleGrantUntil = earlier(st.possiblyHeldUntil, hold), later(st.staleGrantUntil, hold)", "st.possiblyHeldUntil = earlier(st.possiblyHeldUntil, hold)", "./ownership"},
+	{"ow-es-unans", "ownership/liveness.go", "f.possiblyHeldUntil, f.unansweredUntil = earlier(f.possiblyHeldUntil, hold), later(f.unansweredUntil, hold)", "f.possiblyHeldUntil = earlier(f.possiblyHeldUntil, hold)", "./ownership"},
+	{"ow-es-unans2", "ownership/liveness.go", "st.possiblyHeldUntil, st.staleGrantUntil = earlier(st.possiblyHeldUntil, hold), later(st.staleGrantUntil, hold)", "st.possiblyHeldUntil = earlier(st.possiblyHeldUntil, hold)", "./ownership"},
 	{"ow-busy-former", "ownership/change.go", `	if st.orderPending {
 		until := c.holdEnd(now.Add(GrantTimeout))
 		f.possiblyHeldUntil, f.unansweredUntil = later(f.possiblyHeldUntil, until), later(f.unansweredUntil, until)
@@ -305,9 +305,9 @@
 	{"ow-evac", "ownership/plan.go", " || (st.orderPending || !st.fenced) && !c.unavailable(now, st.Owner) {", " {", "./ownership"},
 	{"ow-merge", "ownership/propose.go", "i >= 0 && len(r.FormerOwners) == 0 && !s.ranges[i].orderPending", "i >= 0 && !s.ranges[i].orderPending", "./ownership"},
 	{"ow-merge-busy", "ownership/propose.go", "&& !s.ranges[i].orderPending && !s.ranges[i].moving && s.ranges[i].granted", "&& !s.ranges[i].moving && s.ranges[i].granted", "./ownership"},
-	{"ow-bury", "ownership/ownership.go", "at.StartedAt.After(i.StartedAt) && at.Name != i.Name", "at.Name != i.Name", "./ownership"},
-	{"ow-bury-all", "ownership/ownership.go", "named.StartedAt.After(i.StartedAt) && named.Address != i.Address", "true", "./ownership"},
-	{"ow-bury-name", "ownership/ownership.go", "named.StartedAt.After(i.StartedAt) && named.Address != i.Address", "false", "./ownership"},
+	{"ow-bury", "ownership/liveness.go", "at.StartedAt.After(i.StartedAt) && at.Name != i.Name", "at.Name != i.Name", "./ownership"},
+	{"ow-bury-all", "ownership/liveness.go", "named.StartedAt.After(i.StartedAt) && named.Address != i.Address", "true", "./ownership"},
+	{"ow-bury-name", "ownership/liveness.go", "named.StartedAt.After(i.StartedAt) && named.Address != i.Address", "false", "./ownership"},
 	{"ow-silent", "ownership/plan.go", "len(eligible) == 0 || c.mostUnresponsive(now, s)", "len(eligible) == 0", "./ownership"},
 	{"ow-view-dead", "ownership/view.go", "st.granted && !c.incarnation(st.Owner).over()", "st.granted", "./ownership"},
 	{"ow-scale", "ownership/load.go", "return 1 / (1 - math.Exp(-age.Seconds()/loadTimeConstant.Seconds()))", "return 1 + 0*age.Seconds()", "./ownership"},
--- a/ownership/restart_test.go
+++ b/ownership/restart_test.go
@@ -119,7 +119,7 @@
 }
 
 // TestFormerOwnerThatRestartsIsNotGrantedItsKeysAgain guards against two owners after a restart that the present coordinator
-// cannot notice: the keys of the target have moved, and a coordinator before, which has neither heard of its successor nor
+// cannot notice: the keys of the target have moved, and an earlier coordinator, which does not know of its successor and has not
 // reached the target since, grants them to the restarted process, which remembers no tokens.
 func TestFormerOwnerThatRestartsIsNotGrantedItsKeysAgain(t *testing.T) {
 	for seed := range uint64(4) {
--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -1,6 +1,6 @@
 // Package reachability decides whether a host has lost the path to all targets.
 //
-// A Tracker is a state machine without I/O: what the host hears from targets and the
+// A Tracker is a state machine without I/O: signs of life of targets, failures and the
 // current time are arguments, and the probes to be made are return values. It has no
 // clock, sockets or goroutines, and is not safe for concurrent use. A host has one
 // Tracker for the targets of all services.
--- a/reachability/rules_test.go
+++ b/reachability/rules_test.go
@@ -73,7 +73,7 @@
 }
 
 // The number of probes that are due, and whether the host is cut off, follow from what the
-// host has heard of its targets.
+// results of its requests and probes.
 func TestRules(t *testing.T) {
 	const ms = time.Millisecond
 	tests := []struct {
