Tell resets that arrive during the handshake from unreachable targets

Callers would see: 503 cut_off for up to half a second from hosts whose targets reset connections beyond their limit. Cause: a reset that arrives before the dialer has noticed that its connection was accepted fails the dial with ECONNRESET, which was ErrUnreachable, so that the probe counted as failed instead of closed at once. Change: such a dial returns ErrClosedAtOnce, and its request has not run.

--- a/edge/reachability.go
+++ b/edge/reachability.go
@@ -96,7 +96,8 @@
 			}
 		})
 		return
-	case eris.Is(err, exchange.ErrNoListener), eris.Is(err, exchange.ErrUnreachable) && !hasty:
+	case eris.Is(err, exchange.ErrNoListener), eris.Is(err, exchange.ErrClosedAtOnce),
+		eris.Is(err, exchange.ErrUnreachable) && !hasty:
 		record = func(t *reachability.Tracker) { t.DialFailed(target) }
 	case eris.Is(err, exchange.ErrConnectionFailed), eris.Is(err, exchange.ErrTimeout) && took >= minUnanswered:
 		record = func(t *reachability.Tracker) { t.Failed(target) }
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -34,12 +34,14 @@
 	closed  atomic.Bool
 }
 
-// dial opens a connection with open. Its errors are ErrNoListener, ErrNotSent and ErrUnreachable.
+// dial opens a connection with open. Its errors are ErrNoListener, ErrClosedAtOnce, ErrNotSent and ErrUnreachable.
 func dial(ctx context.Context, open platform.DialFunc, address netip.AddrPort) (*conn, error) {
 	tcp, err := open(ctx, address, dialTimeout)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, eris.Wrapf(ErrNoListener, "%s", address)
+	case errors.Is(err, syscall.ECONNRESET): // accepted, and reset before the dialer noticed
+		return nil, eris.Wrapf(ErrClosedAtOnce, "%s", address)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return nil, eris.Wrapf(ErrNotSent, "%s: canceled", address)
 	case err != nil:
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -58,7 +58,8 @@
 // MayHaveRun reports whether the target may have run a request for which Do
 // returned err.
 func MayHaveRun(err error) bool {
-	return !eris.Is(err, ErrUnreachable) && !eris.Is(err, ErrNoListener) && !eris.Is(err, ErrNotSent)
+	return !eris.Is(err, ErrUnreachable) && !eris.Is(err, ErrNoListener) && !eris.Is(err, ErrClosedAtOnce) &&
+		!eris.Is(err, ErrNotSent)
 }
 
 const (
