Continue with the document that a conflict's response contains

Seen: 40 reads of the store by 12 hosts that start at once, instead of 36 at most (TestStartupStoreCalls, 2 of 90 runs at load 17).

Cause: hosts that find no document all write it, all but one get a conflict, and each of these read the document again, although the response of the conflict contains it. A coordinator whose write conflicted read it again, too.

A takeover that conflicts continues with its document, and a coordinator decides by it, through the same checks of version, era and coordinator as after a read. The response is as current as a read.

The guards pl-conflict and co-conflict are detected by the tests.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -270,7 +270,7 @@
 	}
 }
 
-// nextDocument returns the document that follow found, or else reads it.
+// nextDocument returns the document that follow or lead found, or else reads it.
 func (m *Member) nextDocument(ctx context.Context, read func(context.Context) (*ownership.Document, platform.Version, bool)) (*ownership.Document, platform.Version, bool) {
 	if found := m.found; found != nil {
 		m.found = nil
--- a/coordination/document.go
+++ b/coordination/document.go
@@ -11,7 +11,8 @@
 	"github.com/redwingtally/redwingtally/platform"
 )
 
-// writeDocument replaces the document if it still has the given version.
+// writeDocument replaces the document if it still has the given version. With platform.ErrConflict, it returns
+// the present object if the store has sent it.
 func (m *Member) writeDocument(ctx context.Context, d *ownership.Document, version platform.Version) (platform.Object, error) {
 	value, err := json.Marshal(d)
 	if err != nil {
@@ -32,6 +33,19 @@
 	return &d, nil
 }
 
+// conflicting returns the document of an object that came with a conflict. It is as current as one read after the conflict.
+// It returns nil if the document must be read: the store has sent no valid one, or has come back from a copy since.
+func (m *Member) conflicting(o platform.Object) *reading {
+	if o.Version == 0 || o.Version.Era() < m.options.Store().Era() {
+		return nil
+	}
+	d, err := decodeDocument(o)
+	if err != nil {
+		return nil
+	}
+	return &reading{d, o.Version}
+}
+
 // writeChange writes the proposed document d to the store and retries until the outcome is
 // known. When another process has written the document, it ends the coordination.
 func (l *leader) writeChange(ctx context.Context, d *ownership.Document) {
@@ -46,7 +60,7 @@
 		sent := now()
 		obj, err := l.member.writeDocument(ctx, d, version)
 		if isConflict(err) {
-			obj, err = l.resolveConflict(ctx, d)
+			obj, err = l.resolveConflict(ctx, d, obj)
 			if eris.Is(err, errSuperseded) {
 				l.end()
 				return
@@ -87,10 +101,13 @@
 }
 
 // resolveConflict determines whether a conflict was caused by an earlier attempt
-// to write d, whose object it then returns. It returns errSuperseded if another process wrote, and errRestored if the
+// to write d, whose object it then returns. found is the object that came with the conflict, if any. It returns errSuperseded if another process wrote, and errRestored if the
 // store has come back from a copy, so that d must be written on the copy's version.
-func (l *leader) resolveConflict(ctx context.Context, d *ownership.Document) (platform.Object, error) {
-	obj, err := l.member.options.Store().Get(ctx, documentKind, documentName)
+func (l *leader) resolveConflict(ctx context.Context, d *ownership.Document, found platform.Object) (platform.Object, error) {
+	obj, err := found, error(nil)
+	if l.member.conflicting(found) == nil {
+		obj, err = l.member.options.Store().Get(ctx, documentKind, documentName)
+	}
 	if eris.Is(err, platform.ErrNotFound) {
 		return platform.Object{}, l.adoptCopy(nil, 0)
 	}
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -105,6 +105,7 @@
 	sent := now()
 	obj, err := m.writeDocument(ctx, d, version)
 	if eris.Is(err, platform.ErrConflict) || eris.Is(err, platform.ErrRestored) {
+		m.found = m.conflicting(obj)
 		return true
 	}
 	if err != nil {
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -193,6 +193,7 @@
 	{"pl-era-condition", "platform/objectclient.go", "return !cond.Any && cond.Version > 0 && cond.Version.Era() < c.era.Load()", "return false", "./platform"},
 	{"pl-era-update", "platform/objectclient.go", "if !cond.Any && cond.Version > 0 && cond.Version.Era() != era {", "if false {", "./platform"},
 	{"pl-era-watch", "platform/objectclient.go", "if after > 0 && era != after.Era() {", "if false {", "./platform"},
+	{"pl-conflict", "platform/objectclient.go", "eris.Is(err, ErrConflict) && out.isComplete(name)", "eris.Is(err, ErrConflict)", "./platform"},
 	{"pl-era-stale", "platform/objectclient.go", "if pages[0].version.Era() > FirstEra {", "if false {", "./platform"},
 	{"di-restored-draining", "directory/directory.go", "next.target.Draining = t.Draining || e.target.Draining", "next.target.Draining = t.Draining", "./directory"},
 	{"di-restored-gone", "directory/directory.go", "\t\t\tnext.usableFrom = doubtful", "\t\t\t_ = doubtful", "./directory"},
@@ -359,8 +360,11 @@
 	{"co-confirm-other", "coordination/document.go", "return d != nil && d.Coordinator == l.process && version.Era()", "return d != nil && version.Era()", "./coordination"},
 	{"co-settle", "coordination/document.go", "have.Coordinator == l.process && have.Term == d.Term && have.Fence == d.Fence && have.Era == d.Era", "have != nil", "./coordination"},
 	{"co-conflict", "coordination/document.go", `if isConflict(err) {
-			obj, err = l.resolveConflict(ctx, d)`, `if eris.Is(err, platform.ErrConflict) && false {
-			obj, err = l.resolveConflict(ctx, d)`, "./coordination"},
+			obj, err = l.resolveConflict(ctx, d, obj)`, `if eris.Is(err, platform.ErrConflict) && false {
+			obj, err = l.resolveConflict(ctx, d, obj)`, "./coordination"},
+	{"co-conflict-takeover", "coordination/leader.go", "m.found = m.conflicting(obj)", "_ = m.conflicting(obj)", "./coordination"},
+	{"co-conflict-change", "coordination/document.go", "if l.member.conflicting(found) == nil {", "if true {", "./coordination"},
+	{"co-conflict-era", "coordination/document.go", "o.Version == 0 || o.Version.Era() < m.options.Store().Era()", "o.Version == 0", "./coordination"},
 	{"co-if", "coordination/document.go", "value, platform.IfVersion(version))", "value, func(platform.Version) platform.Condition { return platform.Unconditional() }(version))", "./coordination"},
 	{"co-proposed", "coordination/document.go", "if proposed || d == nil {", "if d == nil || proposed && false {", "./coordination"},
 	{"co-first", "coordination/follower.go", `wait = 0
