Count crashes of targets that restart at their address at once

Seen: a request that crashes targets was sent on without end if their address accepted connections right after each crash, and was never rejected: 7 crashes of 7 requests in TestCrashesOfTargetsThatRestartInPlace.

Cause: a broken connection counts as a crash only if a new connection is refused. A target whose next process listens under the same name and address by then looked as if it had only closed the connection.

Change: a request whose connection broke is kept for 3 s, at most 1,024 of them in a host. If the target's entry names a later start within that time, or does already, the crash is recorded against the earlier start. A response to the same request forgets it, as it clears a recorded crash. Hosts that are cut off keep none. An entry that is older than the recorded start, of a restored store, proves nothing.

Not changed: two crashes of a target before its entry changes count as one, since only the entry tells its starts apart.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -116,6 +116,15 @@
 	d.version++
 }
 
+// StartedAt returns the start time in the entry of a target, or false if there is no entry.
+func (d *Directory) StartedAt(name string) (time.Time, bool) {
+	e, ok := d.entries[name]
+	if !ok {
+		return time.Time{}, false
+	}
+	return e.target.StartedAt, true
+}
+
 // Remove records that the platform removed a target's entry. The entry is
 // retained for a time if the removal is during or soon after an outage of the
 // platform or part of a mass removal. Entries of draining targets are not retained.
--- a/edge/crash.go
+++ b/edge/crash.go
@@ -21,7 +21,7 @@
 
 // checkCrash records a crash of the target if nothing listens on its address
 // after its connection broke. A target that still listens has only closed the
-// connection. The crash is recorded against the incarnation of the target. If another
+// connection, or has restarted, which its entry tells. The crash is recorded against the incarnation of the target. If another
 // target cannot be reached either, it is recorded only if the host is not found to be cut
 // off: then its connections break while the targets live.
 func (q *request) checkCrash(d schedulerDecision) {
@@ -33,6 +33,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	if err := d.client.Preconnect(ctx); !eris.Is(err, exchange.ErrNoListener) {
+		e.awaitRestart(brokenRequest{crash, q.meta.ID, d.dispatch.Target.Name, d.dispatch.Target.StartedAt, time.Now()})
 		return
 	}
 	if e.reachesOther(ctx, d.client) {
@@ -48,6 +49,20 @@
 	}) // submit returns no error
 }
 
+// awaitRestart records the crash of a request whose connection broke once the entry of its target names a later start.
+func (e *Edge) awaitRestart(b brokenRequest) {
+	e.mu.Lock()
+	startedAt, ok := e.targets.StartedAt(b.target)
+	restarted := ok && startedAt.After(b.startedAt)
+	if !restarted {
+		e.restarts.add(b)
+	}
+	e.mu.Unlock()
+	if restarted {
+		e.recordCrash(b.crash, b.id)
+	}
+}
+
 // reachesOther reports whether a connection to another of a few targets can be opened, or no
 // other target is known.
 func (e *Edge) reachesOther(ctx context.Context, than *exchange.Client) bool {
@@ -84,6 +99,7 @@
 	e := q.edge
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.restarts.forget(q.fingerprint)
 	if e.crashTable.Suspected(q.fingerprint) {
 		e.crashTable.RecordResponse(q.fingerprint)
 		e.pendingCleared = append(e.pendingCleared, q.fingerprint)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -97,6 +97,7 @@
 	passedTargets    targetsState
 	usableTargets    int // number of usable targets at the last check of expireTargets
 	crashTable       *quarantine.Table
+	restarts         restarts
 	pendingCrashes   []quarantine.Crash       // crashes since the last report
 	pendingCleared   []quarantine.Fingerprint // suspected requests that targets responded to since the last report
 }
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -35,6 +35,14 @@
 	return len(e.targets.AllTargets(time.Now()))
 }
 
+// TargetStartedAt returns the start time in the entry of a target.
+func (e *Edge) TargetStartedAt(name string) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	startedAt, _ := e.targets.StartedAt(name)
+	return startedAt
+}
+
 // ActiveRequests returns the number of requests in progress.
 func (e *Edge) ActiveRequests() int64 { return e.activeRequests.Load() }
 
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -278,15 +278,20 @@
 	if !o.Deleted {
 		t, err = platform.DecodeTarget(o)
 	}
+	var crashed []brokenRequest
 	e.mu.Lock()
 	before := e.targets.Version()
 	if o.Deleted || err != nil {
 		e.targets.Remove(time.Now(), o.Name)
 	} else {
 		e.targets.Set(time.Now(), t)
+		crashed = e.restarts.take(time.Now(), t)
 	}
 	changed := e.targets.Version() != before
 	e.mu.Unlock()
+	for _, b := range crashed {
+		e.recordCrash(b.crash, b.id)
+	}
 	if err == nil && !changed {
 		return false
 	}
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -105,6 +105,13 @@
 	{"ed-newsCrash", "edge/crash.go", `	e.member.ReportNow()
 `, "", "./edge"},
 	{"ed-listener", "edge/crash.go", "!eris.Is(err, exchange.ErrNoListener)", "!eris.Is(err, exchange.ErrNoListener) && false", "./edge"},
+	{"ed-restart", "edge/crash.go", "e.awaitRestart(brokenRequest{", "_ = (brokenRequest{", "./edge"},
+	{"ed-restart-known", "edge/crash.go", "restarted := ok && startedAt.After(b.startedAt)", "restarted := ok && startedAt.IsZero()", "./edge"},
+	{"ed-restart-answer", "edge/crash.go", "	e.restarts.forget(q.fingerprint)\n", "", "./edge"},
+	{"ed-restart-later", "edge/restarts.go", "b.target != t.Name || !t.StartedAt.After(b.startedAt)", "b.target != t.Name", "./edge"},
+	{"ed-restart-target", "edge/restarts.go", "b.target != t.Name || !t.StartedAt.After(b.startedAt)", "!t.StartedAt.After(b.startedAt)", "./edge"},
+	{"ed-restart-time", "edge/restarts.go", "if now.Sub(b.brokenAt) <= restartTime {", "if true {", "./edge"},
+	{"ed-restart-full", "edge/restarts.go", "if len(r.broken) < maxBrokenRequests {", "if true {", "./edge"},
 	{"ed-born", "edge/crash.go", `+ "/" + strconv.FormatInt(d.dispatch.Target.StartedAt.UnixMilli(), 36)}`, "}; _ = strconv.Itoa", "./edge"},
 	{"ed-relay-once", "edge/relay.go", "q.possibleRuns += attempts", "q.possibleRuns += 0", "./edge"},
 	{"ed-relay-hop", "edge/handler.go", "if q.relayed == nil {\n\t\t\treturn q.passOn(ctx)", "if true {\n\t\t\treturn q.passOn(ctx)", "./edge"},
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -51,7 +51,6 @@
 	"ed-minidle":     "no test configuration has a shorter limit",
 	"ed-relist":      "interrupted watches of the stand-in platform lose no changes",
 	"ed-resign":      "the successor waits for the lease, and no test of the package runs that long",
-	"ed-born":        "crashes in two incarnations of one target count as one, so more crashes are tolerated",
 	"ed-relay-drain": "a precaution: senders close their idle connections before the relay does",
 	"ed-owner-held":  "a target without a grant rejects the request, which is then sent again",
 	"di-mass-drain":  "draining targets are out of use before they disappear, whether they are counted or not",
