--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -200,6 +200,7 @@
 	{"pl-era-condition", "platform/objectclient.go", "return !cond.Any && cond.Version > 0 && cond.Version.Era() < c.era.Load()", "return false", "./platform"},
 	{"pl-era-update", "platform/objectclient.go", "if !cond.Any && cond.Version > 0 && cond.Version.Era() != era {", "if false {", "./platform"},
 	{"pl-era-watch", "platform/objectclient.go", "if after > 0 && era != after.Era() {", "if false {", "./platform"},
+	{"pl-born", "platform/target.go", "if w.Born <= 0 {", "if false {", "./platform"},
 	{"pl-conflict", "platform/objectclient.go", "eris.Is(err, ErrConflict) && out.isComplete(name)", "eris.Is(err, ErrConflict)", "./platform"},
 	{"pl-era-stale", "platform/objectclient.go", "if pages[0].version.Era() > FirstEra {", "if false {", "./platform"},
 	{"di-restored-draining", "directory/directory.go", "next.target.Draining = t.Draining || e.target.Draining", "next.target.Draining = t.Draining", "./directory"},
