Grant keys only over connections older than the lease's confirmation

Callers would see: two owners of a key after a takeover. Keys have moved, their former owner restarts in place and remembers no tokens, and the coordinator before, whose lease is still valid and which knows of no successor, grants them to it again. Cause: a fencing token protects only while the process that has seen it runs. Change: a coordinator sends a grant only over a connection that was opened before the store last confirmed its lease, and asks the store at once (at most every 50 ms) when it needs a newer one. A process that started after a successor took over is then out of reach: the lease can't be confirmed any more. Until then a grant is withheld, which says nothing of the target. Grants go over one connection a target, apart from releases; a grant whose connection does not open was not sent. TestResigningResetsUnansweredOrders sent 20 orders to one target; it sends one each to 20 now, as grants to a target wait for each other.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -32,9 +32,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 
 	"github.com/redwingtally/redwingtally/feed"
+	"github.com/redwingtally/redwingtally/internal/clock"
 	"github.com/redwingtally/redwingtally/ownership"
 	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/ratelimit"
@@ -309,15 +309,8 @@
 	return time.Duration(float64(d) * (0.75 + 0.5*m.options.Random()))
 }
 
-// now returns the time since boot. Unlike Go's monotonic clock it includes the
-// time during which the host was suspended.
-func now() time.Time {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return time.Now().Round(0)
-	}
-	return time.Unix(ts.Sec, ts.Nsec)
-}
+// now returns the time on the clock of this package, which is not stopped while the host is suspended.
+func now() time.Time { return clock.Boot() }
 
 // sleepOr waits for d, until ctx ends or until wake receives a value.
 func sleepOr(ctx context.Context, d time.Duration, wake <-chan struct{}) {
--- a/coordination/document.go
+++ b/coordination/document.go
@@ -81,9 +81,7 @@
 				continue // the store was restored from a copy after this write
 			}
 			l.version = obj.Version
-			if sent.After(l.confirmedAt) {
-				l.confirmedAt = sent
-			}
+			l.confirmLocked(sent)
 			l.core.ConfirmWrite(now())
 			l.publish()
 			l.mu.Unlock()
@@ -129,15 +127,16 @@
 // this process as coordinator, and ends the coordination when it does not. When the store has come back
 // from a copy, it writes the document again.
 func (l *leader) confirmLoop(ctx context.Context) {
-	interval := confirmInterval
+	interval, pause := confirmInterval, time.Duration(0)
 	for {
-		sleepOr(ctx, interval, l.confirmNow)
+		sleep(ctx, pause)
+		sleepOr(ctx, interval-pause, l.confirmNow)
 		if ctx.Err() != nil {
 			return
 		}
-		interval = confirmInterval
+		interval, pause = confirmInterval, minConfirmInterval
 		l.mu.Lock()
-		recent := now().Sub(l.confirmedAt) < confirmInterval/2 && l.version.Era() >= l.member.options.Store().Era()
+		recent := now().Sub(l.confirmedAt) < confirmInterval/2 && l.confirmedAt.After(l.confirmAfter) && l.version.Era() >= l.member.options.Store().Era()
 		l.mu.Unlock()
 		if recent {
 			continue
@@ -147,12 +146,12 @@
 		d, version, ok := l.member.readDocument(call)
 		cancel()
 		if !ok {
-			interval = confirmRetryInterval
+			interval, pause = confirmRetryInterval, retryInterval
 			continue
 		}
 		if l.isConfirmedBy(d, version) {
 			l.mu.Lock()
-			l.confirmedAt = sent
+			l.confirmLocked(sent)
 			l.mu.Unlock()
 			continue
 		}
@@ -171,6 +170,43 @@
 	}
 }
 
+// confirmLocked records that a call of the store that was sent at the given time has confirmed this leader.
+// The caller holds l.mu.
+func (l *leader) confirmLocked(sent time.Time) {
+	if sent.After(l.confirmedAt) {
+		l.confirmedAt = sent
+		close(l.confirmed)
+		l.confirmed = make(chan struct{})
+	}
+}
+
+// awaitConfirmation waits until a call of the store that was sent after t has confirmed this leader, and reports whether
+// that happened before ctx ended.
+func (l *leader) awaitConfirmation(ctx context.Context, t time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t.After(l.confirmAfter) {
+		l.confirmAfter = t
+	}
+	for !l.confirmedAt.After(t) {
+		confirmed := l.confirmed
+		l.mu.Unlock()
+		select {
+		case l.confirmNow <- struct{}{}:
+		default:
+		}
+		select {
+		case <-confirmed:
+		case <-ctx.Done():
+		}
+		l.mu.Lock()
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // isConfirmedBy reports whether a document in the store shows that this process coordinates.
 func (l *leader) isConfirmedBy(d *ownership.Document, version platform.Version) bool {
 	l.mu.Lock()
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -51,6 +51,8 @@
 	core           *ownership.Core
 	version        platform.Version // of the document in the store
 	confirmedAt    time.Time        // send time of the last store call that confirmed this leader
+	confirmed      chan struct{}    // closed and replaced when confirmedAt changes
+	confirmAfter   time.Time        // a grant waits for a confirmation that is sent after this time
 	ended          bool
 	cancel         context.CancelFunc     // ends run; nil before run starts
 	targetsVersion TargetsVersion         // of the targets last passed to core
@@ -113,7 +115,7 @@
 		return false
 	}
 	l := &leader{
-		member: m, process: m.options.Process, wake: make(chan struct{}, 1), confirmNow: make(chan struct{}, 1),
+		member: m, process: m.options.Process, wake: make(chan struct{}, 1), confirmNow: make(chan struct{}, 1), confirmed: make(chan struct{}),
 		core: ownership.New(ownership.Options{HoldTime: HoldTime, LeaseTime: LeaseTime}), version: obj.Version, confirmedAt: sent,
 		hosts: map[string]*hostReport{}, crashes: quarantine.New(), changed: make(chan struct{}), permits: ratelimit.NewAllocator(),
 		expectedHosts: d.HostCount, startedAt: now(),
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -28,18 +28,16 @@
 }
 
 // sendBatch sends the orders of a batch in turn and records their results. After
-// an unanswered order, and when the lease is about to expire, the rest is recorded as unsent.
+// an unanswered or withheld order, and when the lease is about to expire, the rest is recorded as unsent.
 func (l *leader) sendBatch(ctx context.Context, batch []ownership.Order) {
 	result := ownership.OrderDone
 	for _, o := range batch {
 		token := ""
-		if result == ownership.OrderUnanswered {
+		if result == ownership.OrderUnanswered || !l.leaseOutlastsOrder() {
 			result = ownership.OrderNotSent
 		}
-		if result != ownership.OrderNotSent && l.leaseOutlastsOrder() {
+		if result != ownership.OrderNotSent && result != ownership.OrderWithheld {
 			result, token = l.sendOrder(ctx, o)
-		} else {
-			result = ownership.OrderNotSent
 		}
 		l.recordResult(o, result, token)
 	}
@@ -81,7 +79,10 @@
 	if o.Kind == ownership.GrantKeys {
 		ctx, cancel := context.WithTimeout(ctx, ownership.GrantTimeout)
 		defer cancel()
-		err = l.member.options.TargetClient.Grant(ctx, to, platform.Grant{Keys: o.Span, FencingToken: o.Fence, TTL: o.HoldTime, HandoverToken: o.HandoverToken})
+		err = l.sendGrant(ctx, to, platform.Grant{Keys: o.Span, FencingToken: o.Fence, TTL: o.HoldTime, HandoverToken: o.HandoverToken})
+		if eris.Is(err, platform.ErrConnectionTooNew) {
+			return ownership.OrderWithheld, ""
+		}
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
@@ -104,6 +105,23 @@
 	return ownership.OrderUnanswered, ""
 }
 
+// sendGrant sends a grant to a process that already ran when the lease was last confirmed. If the connection to the target is
+// newer than that, it waits for the next confirmation, so that no process that has started after a successor took over, and that
+// remembers none of its tokens, accepts the grant.
+func (l *leader) sendGrant(ctx context.Context, to platform.Recipient, g platform.Grant) error {
+	wait, cancel := context.WithTimeout(ctx, ownership.GrantTimeout/2) // leaves time for the response
+	defer cancel()
+	for {
+		l.mu.Lock()
+		confirmedAt := l.confirmedAt
+		l.mu.Unlock()
+		err := l.member.options.TargetClient.Grant(ctx, to, g, confirmedAt)
+		if !eris.Is(err, platform.ErrConnectionTooNew) || !l.awaitConfirmation(wait, now()) {
+			return err
+		}
+	}
+}
+
 // reportOrderResult passes on whether a target responded to an order, unless the order was
 // given up as ctx had ended.
 func (l *leader) reportOrderResult(ctx context.Context, target string, err error) {
--- a/coordination/orders_test.go
+++ b/coordination/orders_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -31,17 +33,39 @@
 	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")), calls
 }
 
-// newTestLeader returns a leader of term 1 with a valid lease, no store and no targets.
+// newTestLeader returns a leader of term 1 with a valid lease, no store and no targets. Its lease is confirmed whenever it asks.
 func newTestLeader() *leader {
+	always := &atomic.Bool{}
+	always.Store(true)
+	return newTestLeaderWhile(always)
+}
+
+// newTestLeaderWhile is newTestLeader for a leader whose lease is confirmed only while confirmed is set,
+// or by its confirmLoop if confirmed is nil.
+func newTestLeaderWhile(confirmed *atomic.Bool) *leader {
 	l := &leader{
 		member: &Member{options: Options{Log: slog.New(slog.DiscardHandler), TargetClient: platform.NewTargetClient(nil), RateLimits: ratelimit.NewTable()}, watchGate: newGate()},
 		core:   ownership.New(ownership.Options{HoldTime: HoldTime, LeaseTime: LeaseTime}), confirmedAt: now(),
-		hosts: map[string]*hostReport{}, afterRestore: afterRestore{reporters: map[string]reporter{}}, confirmNow: make(chan struct{}, 1), crashes: quarantine.New(), changed: make(chan struct{}), wake: make(chan struct{}, 1),
+		hosts: map[string]*hostReport{}, afterRestore: afterRestore{reporters: map[string]reporter{}}, confirmNow: make(chan struct{}, 1), confirmed: make(chan struct{}), crashes: quarantine.New(), changed: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 	l.core.Begin(now(), &ownership.Document{Term: 1, Services: map[string][]ownership.Range{}}, true)
+	if confirmed != nil {
+		go l.confirmWhile(confirmed)
+	}
 	return l
 }
 
+// confirmWhile confirms the lease whenever l asks and confirmed is set.
+func (l *leader) confirmWhile(confirmed *atomic.Bool) {
+	for range l.confirmNow {
+		if confirmed.Load() {
+			l.mu.Lock()
+			l.confirmLocked(now())
+			l.mu.Unlock()
+		}
+	}
+}
+
 // A coordinator sends no orders that could arrive after its lease has expired, or after
 // its coordination has ended.
 func TestOrdersNeedALease(t *testing.T) {
@@ -75,6 +99,95 @@
 	qt.Check(t, calls.Load(), qt.Equals, int32(1))
 }
 
+// A grant over a new connection makes the leader ask the store at once, also if its lease was confirmed a moment ago, but not
+// more often than once in minConfirmInterval.
+func TestNewConnectionsAskForAConfirmation(t *testing.T) {
+	c := qt.New(t)
+	l := newTestLeaderWhile(nil)
+	attachStore(t, l)
+	ctx, cancel := context.WithCancel(context.Background())
+	var loop sync.WaitGroup
+	loop.Go(func() { l.confirmLoop(ctx) })
+	defer loop.Wait()
+	defer cancel()
+	began := now()
+	for range 5 {
+		address, calls := startCountingServer(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		o := ownership.Order{To: ownership.Incarnation{Name: "a", Address: address}, Fence: 1, HoldTime: HoldTime}
+		result, _ := l.sendOrder(ctx, o)
+		c.Check(result, qt.Equals, ownership.OrderDone)
+		c.Check(calls.Load(), qt.Equals, int32(1))
+	}
+	took := now().Sub(began)
+	c.Check(took >= 4*minConfirmInterval && took < confirmInterval, qt.IsTrue, qt.Commentf("%s", took))
+}
+
+// After a withheld grant, the remaining grants of its batch are not sent, so that the batch does not wait for each.
+func TestBatchStopsAfterAWithheldGrant(t *testing.T) {
+	address, calls := startCountingServer(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	o := ownership.Order{To: ownership.Incarnation{Name: "a", Address: address}, Fence: 1, HoldTime: HoldTime}
+	began := now()
+	newTestLeaderWhile(&atomic.Bool{}).sendBatch(context.Background(), []ownership.Order{o, o, o})
+	qt.Check(t, calls.Load(), qt.Equals, int32(0))
+	qt.Check(t, now().Sub(began) < ownership.GrantTimeout, qt.IsTrue)
+}
+
+// TestGrantsReachNoProcessThatStartedAfterTheLeaseWasConfirmed guards against two owners after a takeover that the coordinator
+// does not know of: a process that starts then remembers none of the successor's tokens.
+func TestGrantsReachNoProcessThatStartedAfterTheLeaseWasConfirmed(t *testing.T) {
+	tests := []struct {
+		name      string
+		confirmed bool // the store confirms the lease when the leader asks
+		running   bool // the first process has received a grant before
+		restarted bool // another process has started in its place since
+		want      ownership.OrderResult
+		calls     int32 // that reach the process
+	}{
+		{name: "first grant", confirmed: true, want: ownership.OrderDone, calls: 1},
+		{name: "first grant, store does not answer", want: ownership.OrderWithheld},
+		{name: "renewal, store does not answer", running: true, want: ownership.OrderDone, calls: 1},
+		{name: "restarted", confirmed: true, running: true, restarted: true, want: ownership.OrderDone, calls: 1},
+		{name: "restarted, store does not answer", running: true, restarted: true, want: ownership.OrderWithheld},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var calls atomic.Int32
+			start := func(address string) *http.Server {
+				ln, err := net.Listen("tcp4", address)
+				c.Assert(err, qt.IsNil)
+				s := &http.Server{Addr: ln.Addr().String(), Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) })}
+				go func() { _ = s.Serve(ln) }()
+				t.Cleanup(func() { _ = s.Close() })
+				return s
+			}
+			target := start("127.0.0.1:0")
+			o := ownership.Order{To: ownership.Incarnation{Name: "a", Address: netip.MustParseAddrPort(target.Addr)}, Fence: 1, HoldTime: HoldTime}
+			confirmed := &atomic.Bool{}
+			confirmed.Store(true)
+			l := newTestLeaderWhile(confirmed)
+			if test.running {
+				result, _ := l.sendOrder(context.Background(), o)
+				c.Assert(result, qt.Equals, ownership.OrderDone)
+			}
+			if test.restarted {
+				c.Assert(target.Close(), qt.IsNil)
+				start(target.Addr)
+			}
+			confirmed.Store(test.confirmed)
+			calls.Store(0)
+			reports := 0
+			l.member.options.OrderResult = func(string, bool) { reports++ }
+			began := now()
+			result, _ := l.sendOrder(context.Background(), o)
+			c.Check(result, qt.Equals, test.want)
+			c.Check(calls.Load(), qt.Equals, test.calls)
+			c.Check(reports, qt.Equals, int(test.calls)) // a withheld grant tells nothing of the target
+			c.Check(now().Sub(began) < ownership.GrantTimeout, qt.IsTrue)
+		})
+	}
+}
+
 // The results of orders tell whether their target responds; orders that are given up tell nothing.
 func TestOrderResultsAreReported(t *testing.T) {
 	respond := func(status int) http.Handler {
--- a/coordination/resign_test.go
+++ b/coordination/resign_test.go
@@ -14,11 +14,10 @@
 
 // startSilentTarget starts a target that reads orders and never answers. It sends on began for each connection on which an
 // order has arrived, and on reset when the connection ends.
-func startSilentTarget(t *testing.T) (address netip.AddrPort, began, reset chan time.Time) {
+func startSilentTarget(t *testing.T, began, reset chan<- time.Time) netip.AddrPort {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = ln.Close() })
-	began, reset = make(chan time.Time, 100), make(chan time.Time, 100)
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -40,7 +39,7 @@
 			}()
 		}
 	}()
-	return netip.MustParseAddrPort(ln.Addr().String()), began, reset
+	return netip.MustParseAddrPort(ln.Addr().String())
 }
 
 // orderMargin is what a successor adds to the hold of a grant that may have been sent just before its predecessor stopped.
@@ -53,12 +52,12 @@
 	c := qt.New(t)
 	l := newTestLeader()
 	attachStore(t, l)
-	address, began, reset := startSilentTarget(t)
+	began, reset := make(chan time.Time, 100), make(chan time.Time, 100)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	l.cancel = cancel
 	for i := range orders {
-		o := ownership.Order{To: ownership.Incarnation{Name: "a", Address: address}, Fence: uint64(i + 1), HoldTime: HoldTime}
+		o := ownership.Order{To: ownership.Incarnation{Name: "a", Address: startSilentTarget(t, began, reset)}, Fence: uint64(i + 1), HoldTime: HoldTime}
 		go l.sendBatch(ctx, []ownership.Order{o})
 	}
 	for range orders {
--- a/coordination/timing.go
+++ b/coordination/timing.go
@@ -15,6 +15,8 @@
 	// LeaseTime is how long a coordinator continues after its last confirmation by the store. Outages of the store last up
 	// to 9 s.
 	LeaseTime = 10 * time.Second
+	// minConfirmInterval is the time between two confirmations that grants wait for.
+	minConfirmInterval = 50 * time.Millisecond
 	// confirmTimeout limits a confirmation by the store, which takes up to 250 ms when it is slow.
 	confirmTimeout = 700 * time.Millisecond
 	// confirmRetryInterval is the time between confirmations while the store does not answer.
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -347,10 +347,14 @@
 	{"co-aside2", "coordination/leader.go", `		l.member.suspendCandidacy(isolationBackoff)
 `, "", "./coordination"},
 	{"co-isolated", "coordination/leader.go", "t.Sub(l.cutOffAt) >= recoveryTime && l.core.Isolated(t) {", "false {", "./coordination"},
-	{"co-batch", "coordination/orders.go", `if result == ownership.OrderUnanswered {
-			result = ownership.OrderNotSent
-		}`, "", "./coordination"},
-	{"co-batch-lease", "coordination/orders.go", "if result != ownership.OrderNotSent && l.leaseOutlastsOrder() {", "if result != ownership.OrderNotSent {", "./coordination"},
+	{"co-batch", "coordination/orders.go", "if result == ownership.OrderUnanswered || ", "if ", "./coordination"},
+	{"co-batch-lease", "coordination/orders.go", "result == ownership.OrderUnanswered || !l.leaseOutlastsOrder()", "result == ownership.OrderUnanswered", "./coordination"},
+	{"co-batch-withheld", "coordination/orders.go", "result != ownership.OrderNotSent && result != ownership.OrderWithheld", "result != ownership.OrderNotSent", "./coordination"},
+	{"co-grant-confirmed", "coordination/orders.go", "Grant(ctx, to, g, confirmedAt)", "Grant(ctx, to, g, confirmedAt.Add(LeaseTime))", "./coordination"},
+	{"co-grant-asks", "coordination/document.go", " && l.confirmedAt.After(l.confirmAfter)", "", "./coordination"},
+	{"co-grant-pause", "coordination/document.go", "interval, pause = confirmInterval, minConfirmInterval", "interval = confirmInterval", "./coordination"},
+	{"pl-grant-age", "platform/targetclient.go", "if !slot.conn.opened.Before(openedBefore) {", "if false {", "./platform"},
+	{"pl-grant-quiet", "platform/grantconn.go", "s.conn != nil && s.conn.quiet()", "s.conn != nil", "./platform"},
 	{"co-resign-store", "coordination/document.go", "!l.hasEnded() && !m.storeAnswers(ctx)", "!l.hasEnded() && false", "./coordination"},
 	{"co-handover", "coordination/leader.go", "if l.shouldHandOver(t) {", "if false {", "./coordination"},
 	{"fe-unconfirmed", "feed/feed.go", "if from >= k.version || k.unconfirmed {", "if from >= k.version {", "./feed"},
--- a/ownership/orders.go
+++ b/ownership/orders.go
@@ -58,6 +58,9 @@
 	// OrderTargetReplaced means that another target uses the address, so that the process
 	// of the expected one has ended.
 	OrderTargetReplaced
+	// OrderWithheld means that the coordinator did not send a grant, as no connection to the target is older than the last
+	// confirmation of its lease.
+	OrderWithheld
 )
 
 // Orders returns the orders that are due. The caller must report the result of
@@ -157,6 +160,8 @@
 	case OrderDone, OrderFenced:
 		v.unansweredSince = time.Time{}
 		return
+	case OrderWithheld:
+		return
 	case OrderTargetReplaced:
 		c.markEnded(to)
 	case OrderUnanswered, OrderNotSent:
@@ -184,7 +189,7 @@
 		st.formers = nil
 	case OrderFenced:
 		st.needsNewFence = true
-	case OrderNotSent, OrderTargetReplaced:
+	case OrderNotSent, OrderTargetReplaced, OrderWithheld:
 		st.nextGrant = now.Add(orderRetryDelay)
 	case OrderUnanswered:
 		st.nextGrant = now.Add(orderRetryDelay)
@@ -197,7 +202,7 @@
 // range changed. A grant that may have taken effect extends the time for which
 // its target may hold the keys, and a release that was already answered is sent again.
 func (c *Core) handleStaleGrantResult(now time.Time, st *rangeState, o Order, result OrderResult) {
-	if st.Last < o.Span.First || st.First > o.Span.Last || result == OrderNotSent || result == OrderTargetReplaced || result == OrderFenced {
+	if st.Last < o.Span.First || st.First > o.Span.Last || result != OrderDone && result != OrderUnanswered {
 		return
 	}
 	until := c.holdEnd(now)
@@ -220,7 +225,7 @@
 		f.released = true
 		st.handoverToken = token
 		c.version++
-	case OrderFenced, OrderUnanswered, OrderNotSent, OrderTargetReplaced:
+	case OrderFenced, OrderUnanswered, OrderNotSent, OrderTargetReplaced, OrderWithheld:
 		f.nextRelease = now.Add(orderRetryDelay)
 	}
 }
--- a/ownership/simulation_test.go
+++ b/ownership/simulation_test.go
@@ -90,6 +90,7 @@
 	leaseConfirmedAt time.Time // when the store last confirmed that it coordinates
 	paused           bool
 	partitionedFrom  map[*fakeTarget]bool
+	connectedAt      map[*fakeTarget]time.Time // when the connections for grants were opened
 	storeUnavailable bool
 	term             uint64
 	era              uint64    // of the store at version
@@ -151,7 +152,7 @@
 		s.addTarget(fmt.Sprint("t", i))
 	}
 	for i := range 3 {
-		s.processes = append(s.processes, &process{name: fmt.Sprint("p", i), partitionedFrom: map[*fakeTarget]bool{}})
+		s.processes = append(s.processes, &process{name: fmt.Sprint("p", i), partitionedFrom: map[*fakeTarget]bool{}, connectedAt: map[*fakeTarget]time.Time{}})
 	}
 	for range 24 {
 		s.probedKeys = append(s.probedKeys, uint16(s.random.IntN(1<<16)))
@@ -325,10 +326,21 @@
 		s.after(d, func() { s.recordResult(p, core, o, r, token) })
 	}
 	t := s.targetAt(o.To.Address)
+	connectedAt, connected := p.connectedAt[t]
 	switch {
 	case p.partitionedFrom[t] && t.refusesConnections, !t.up:
 		answer(2*time.Millisecond, OrderNotSent, "")
 		return
+	case o.Kind == GrantKeys && !connected && p.partitionedFrom[t]:
+		answer(GrantTimeout, OrderNotSent, "")
+		return
+	case o.Kind == GrantKeys && (!connected || !connectedAt.Before(p.leaseConfirmedAt)):
+		if !connected {
+			p.connectedAt[t] = s.now
+		}
+		s.after(time.Duration(s.random.IntN(100))*time.Millisecond, func() { s.confirmLease(p) })
+		answer(2*time.Millisecond, OrderWithheld, "")
+		return
 	case p.partitionedFrom[t]:
 		answer(GrantTimeout, OrderUnanswered, "")
 		s.retransmit(p, t, o, s.now)
@@ -366,6 +378,9 @@
 		s.after(testTick, func() { s.recordResult(p, core, o, r, token) })
 		return
 	}
+	if r == OrderUnanswered && o.Kind == GrantKeys {
+		delete(p.connectedAt, s.targetAt(o.To.Address))
+	}
 	core.RecordResult(s.now, o, r, token)
 }
 
