--- a/coordination/document.go
+++ b/coordination/document.go
@@ -99,8 +99,9 @@
 }
 
 // resolveConflict determines whether a conflict was caused by an earlier attempt
-// to write d, whose object it then returns. found is the object that came with the conflict, if any. It returns errSuperseded if another process wrote, and errRestored if the
-// store has come back from a copy, so that d must be written on the copy's version.
+// to write d, whose object it then returns. found is the object that came with the conflict, if any. It returns
+// errSuperseded if another process wrote, and errRestored if the store has come back from a copy, so that d must be
+// written on the copy's version.
 func (l *leader) resolveConflict(ctx context.Context, d *ownership.Document, found platform.Object) (platform.Object, error) {
 	obj, err := found, error(nil)
 	if l.member.conflicting(found) == nil {
