Give mutated tests more time, and let a guard name its tests

The tests of ./edge take 136 s alone, and a mutated run was ended after 150 s. A timeout counts as detected, so that on a busy machine a guard without any test passed too. Mutated tests get 300 s, and a guard may follow its packages with -run, for which a row takes seconds.

Measured: go test ./edge 136.5 s at a load of 6 on 8 cores; go test ./internal/mutation passes.

--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -33,10 +33,11 @@
 
 // runTimeout bounds the tests of one package. Some mutations make tests hang; a
 // timeout counts as detected.
-const runTimeout = 150 * time.Second
+const runTimeout = 300 * time.Second
 
 // guard is a mutation: in file, replacement takes the place of text, and a test of
-// packages must fail.
+// packages must fail. Flags of go test may follow the packages, such as -run for a guard
+// whose package takes minutes.
 type guard struct {
 	id, file, text, replacement, packages string
 }
@@ -113,7 +114,8 @@
 	qt.Assert(t, os.WriteFile(overlayFile, overlay, 0o600), qt.IsNil)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*runTimeout)
 	defer cancel()
-	cmd := exec.CommandContext(ctx, "go", "test", "-overlay", overlayFile, "-count=1", "-vet=off", "-failfast", "-timeout", runTimeout.String(), g.packages)
+	cmd := exec.CommandContext(ctx, "go", "test", "-overlay", overlayFile, "-count=1", "-vet=off", "-failfast", "-timeout", runTimeout.String())
+	cmd.Args = append(cmd.Args, strings.Fields(g.packages)...)
 	cmd.Dir = root
 	out, err := cmd.CombinedOutput()
 	return string(out), err
