Let no header of a target change the result of a relay

Callers of a host that is cut off got 502 relay_failed, or 503 cut_off at the next request, for a request that had run and was answered, if the target's response named a header between hosts in Connection: the relay set its result among the response's headers, and copying them to the sender removes what Connection names.

The relay now states its result after the copy, and passes a success on with its signature. Headers that a target forges are replaced as before.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -247,8 +247,13 @@
 // if the response is truncated, so that the caller does not take it as complete.
 func (q *request) writeResponse(resp *exchange.Response) {
 	q.outcome = "answered_" + strconv.Itoa(resp.Status)
-	if q.relayed != nil {
-		q.setResult(resp.Header, relay.Response)
+	h := q.w.Header()
+	exchange.CopyEndToEndHeaders(h, resp.Header)
+	if q.relayed != nil { // after the copy, so that a target neither removes nor forges the result
+		if resp.Signed {
+			platform.CopySignature(h, resp.Header) // the sender drops a success without it, also if Connection names it
+		}
+		q.setResult(h, relay.Response)
 	}
 	if err := writeResponse(q.w, resp); err != nil {
 		q.err = err
--- a/edge/response.go
+++ b/edge/response.go
@@ -10,14 +10,12 @@
 	"github.com/redwingtally/redwingtally/platform"
 )
 
-// writeResponse copies a target's response to the caller unchanged. It returns
-// an error if the response could not be passed on completely.
+// writeResponse sends a target's response, whose headers are in w, to the caller. It
+// returns an error if the response could not be passed on completely.
 func writeResponse(w http.ResponseWriter, resp *exchange.Response) error {
 	defer resp.Close()
-	h := w.Header()
-	exchange.CopyEndToEndHeaders(h, resp.Header)
 	if resp.Length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+		w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
 	w.WriteHeader(resp.Status)
 	if _, err := w.Write(resp.Body); err != nil {
