Charge a retry that a relay has taken but not used only once

A relay that is cut off after its attempt failed has already taken the retry from its budget. It gives the request back, and the sender took a second retry for the one further attempt: callers got an error for want of budget sooner than the limits require. The result now states a retry that was taken and not used; the sender uses it for the next relay.

The review's case, an attempt that a target rejects and that nobody is charged for when the next relay takes the request, does not occur: the relay takes the retry before it gives the request back. The test covers it.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -34,6 +34,7 @@
 		q.queueTime = d.dispatch.TimeSinceArrival
 	}
 	q.sends++
+	q.retryTaken = false
 	sent := time.Now()
 	target := d.dispatch.Target.Name
 	q.edge.path.sent(target)
@@ -113,7 +114,7 @@
 }
 
 // takeRetry reports whether the request may be sent again, and if so takes one
-// retry from the budget. ran reports whether a target may have run the last attempt.
+// retry from the budget unless a host has already taken it. ran reports whether a target may have run the last attempt.
 func (q *request) takeRetry(ctx context.Context, ran bool) bool {
 	if ctx.Err() != nil || q.body.rest != nil || q.sends >= maxSends {
 		return false
@@ -124,7 +125,8 @@
 	if time.Until(q.deadline) < q.service.meanResponseTime() {
 		return false
 	}
-	return q.service.takeRetry(q.callerRetry)
+	q.retryTaken = q.retryTaken || q.service.takeRetry(q.callerRetry)
+	return q.retryTaken
 }
 
 // handleError handles an exchange that ended without a response. It reports
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -105,3 +105,15 @@
 	defer s.mu.Unlock()
 	return s.rate.value(time.Now())
 }
+
+// RetriesLeft returns how many retries of a service the host's budget allows now as one of so many hosts.
+func (e *Edge) RetriesLeft(service string, hosts int) int {
+	s := e.service(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left, b := 0, *s.budget
+	for b.AllowRetry(time.Now(), hosts, true) {
+		left++
+	}
+	return left
+}
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -54,6 +54,7 @@
 
 	queued       bool               // the scheduler has received the request
 	sends        int                // attempts sent to targets
+	retryTaken   bool               // a retry was taken from the budget of a host, and the request has not been sent since
 	possibleRuns int                // attempts that a target may have run
 	queueTime    time.Duration      // time from the arrival at the scheduler to the first attempt
 	fallback     *exchange.Response // 5xx response of the last retried attempt, sent if the retries yield no response to pass on
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -38,6 +38,8 @@
 	requests atomic.Int64
 	cancels  []context.CancelFunc // end the background work of each host
 
+	retryRatio, retryExtra float64 // limits of the retry budget
+
 	relayless bool             // the hosts do not relay requests
 	networked bool             // the hosts reach the targets through networks
 	networks  []*targetNetwork // by host; empty unless networked
@@ -52,7 +54,7 @@
 		defer cancel()
 		_ = p.Stop(ctx)
 	})
-	h := &harness{tb: tb, platform: p, store: platform.NewClient(p.Address())}
+	h := &harness{tb: tb, platform: p, store: platform.NewClient(p.Address()), retryRatio: 0.2, retryExtra: 40}
 	for _, f := range change {
 		f(h)
 	}
@@ -68,7 +70,7 @@
 		Host: name, DataCentre: "leicester",
 		EntryAddress: ports.Free(h.tb), ReadyAddress: ports.Free(h.tb), ControlAddress: ports.Free(h.tb),
 		MetricsAddress: ports.Free(h.tb), RelayAddress: ports.Free(h.tb), StoreAddress: h.platform.Address(), MemoryMB: 256, CPUShare: 1,
-		Drain: 2 * time.Second, Shutdown: 6 * time.Second, RetryRatio: 0.2, RetryExtra: 40, RetryWindow: 10 * time.Second,
+		Drain: 2 * time.Second, Shutdown: 6 * time.Second, RetryRatio: h.retryRatio, RetryExtra: h.retryExtra, RetryWindow: 10 * time.Second,
 	}
 	if h.relayless {
 		s.RelayAddress = netip.AddrPort{}
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -43,6 +43,7 @@
 	}
 	q.triedRelays = append(q.triedRelays, ticket.Relay.Host)
 	attempts := relay.AttemptsFor(q.attemptsLeft())
+	q.retryTaken = false
 	q.edge.log.Info("relay: Request passed on.", "request", q.meta.ID, "service", q.service.name, "relay", ticket.Relay.Host,
 		"try", len(q.triedRelays), "attempts", attempts, "left_ms", time.Until(q.deadline).Milliseconds())
 	response, err := client.Do(ctx, q.relayRequest(attempts))
@@ -132,6 +133,7 @@
 	q.edge.relays.done(t, outcome)
 	q.possibleRuns += result.Runs
 	q.counted = q.counted || result.Counted
+	q.retryTaken = result.RetryTaken
 	switch result.Kind {
 	case relay.NotTaken:
 		resp.Close()
--- a/edge/relayharness_test.go
+++ b/edge/relayharness_test.go
@@ -151,9 +151,15 @@
 // recordingTarget starts a target that sends the headers of each request to the result.
 func (h *harness) recordingTarget(name, service string) chan http.Header {
 	received := make(chan http.Header, 100)
+	h.handlerTarget(name, service, func(_ http.ResponseWriter, r *http.Request) { received <- r.Header })
+	return received
+}
+
+// handlerTarget starts a target whose responses f writes. They have the headers of a target unless f changes them.
+func (h *harness) handlerTarget(name, service string, f http.HandlerFunc) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		received <- r.Header
 		platform.SetResponseMeta(w.Header(), name, platform.ResponseMeta{ID: platform.ReadRequestMeta(r.Header).ID, Signed: true})
+		f(w, r)
 	}))
 	h.tb.Cleanup(server.Close)
 	entry, err := platform.EncodeTarget(platform.Target{
@@ -162,5 +168,4 @@
 	qt.Assert(h.tb, err, qt.IsNil)
 	_, err = h.store.Put(context.Background(), platform.KindTargets, name, entry, platform.Unconditional())
 	qt.Assert(h.tb, err, qt.IsNil)
-	return received
 }
--- a/edge/relayheaders_test.go
+++ b/edge/relayheaders_test.go
@@ -1,15 +1,11 @@
 package edge_test
 
 import (
-	"context"
 	"io"
 	"net/http"
-	"net/http/httptest"
-	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -18,12 +14,10 @@
 
 // A target neither removes nor forges what a relay states with its response, and its response reaches the caller as without a relay.
 func TestTargetsDoNotChangeRelayHeaders(t *testing.T) {
-	c := qt.New(t)
 	h := newHarness(t, 2)
 	var runs atomic.Int64
 	var header atomic.Pointer[http.Header]
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		platform.SetResponseMeta(w.Header(), "target", platform.ResponseMeta{ID: platform.ReadRequestMeta(r.Header).ID, Signed: true})
+	h.handlerTarget("target", "deposits", func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, oncePath) {
 			runs.Add(1)
 			for name, values := range *header.Load() {
@@ -31,14 +25,7 @@
 			}
 		}
 		_, _ = io.WriteString(w, "whole response")
-	}))
-	t.Cleanup(server.Close)
-	entry, err := platform.EncodeTarget(platform.Target{
-		Name: "target", StartedAt: time.Now(), Service: "deposits", Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Slots: 2,
-	}, 1)
-	c.Assert(err, qt.IsNil)
-	_, err = h.store.Put(context.Background(), platform.KindTargets, "target", entry, platform.Unconditional())
-	c.Assert(err, qt.IsNil)
+	})
 	h.configure([]platform.Route{route("deposits", "/", platform.AtMostOnce)}, plain("deposits"))
 	h.waitServing(0, "/")
 	h.waitServing(1, "/")
--- a/edge/relayresult_test.go
+++ b/edge/relayresult_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/redwingtally/redwingtally/budget"
 	"github.com/redwingtally/redwingtally/exchange"
 	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/relay"
@@ -107,6 +109,35 @@
 	}
 }
 
+// A retry that was taken before the request is passed on serves once: it is taken again after a failure.
+func TestTakenRetryServesOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer http.HandlerFunc
+		status int
+	}{
+		{"error response", func(w http.ResponseWriter, _ *http.Request) {
+			platform.SetRequestID(w.Header(), "x")
+			relay.Result{Kind: relay.Response, Runs: 1}.Set(w.Header())
+			w.WriteHeader(http.StatusNotImplemented)
+		}, http.StatusNotImplemented},
+		{"lost", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, http.StatusBadGateway},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			q, w := newRequest(t, func(q *request) { q.sends, q.retryTaken, q.meta.ID = 0, true, "x" })
+			q.service.setLimits(budget.Limits{Window: time.Second})
+			server := httptest.NewServer(test.answer)
+			t.Cleanup(server.Close)
+			q.edge.relays.selector.SetRelays([]relay.Relay{{Host: "e2", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}})
+			c.Check(q.passOn(context.Background()), qt.IsTrue)
+			c.Check(w.Code, qt.Equals, test.status)
+			c.Check(q.possibleRuns, qt.Equals, 1)
+		})
+	}
+}
+
 // The result that a relay states says whether the request may have run.
 func TestRejectionKind(t *testing.T) {
 	tests := []struct {
--- a/edge/relayserver.go
+++ b/edge/relayserver.go
@@ -150,7 +150,7 @@
 // setResult sets the headers between hosts in the response to a relayed request. A relay
 // that is stopping closes the connection after the response.
 func (q *request) setResult(h http.Header, kind relay.Kind) {
-	result := relay.Result{Kind: kind, Counted: q.counted && !q.relayed.Counted, Unavailable: q.relayUnavailable}
+	result := relay.Result{Kind: kind, Counted: q.counted && !q.relayed.Counted, Unavailable: q.relayUnavailable, RetryTaken: q.retryTaken}
 	if kind == relay.Response && platform.ReadRequestMeta(h).ID == "" {
 		platform.SetRequestID(h, q.meta.ID) // connections to relays are reused, on which responses must have one
 		result.IDAdded = true
--- a/relay/headers.go
+++ b/relay/headers.go
@@ -21,10 +21,12 @@
 	headerIDAdded       = "Relay-Id-Added"
 	headerCallerRetry   = "Relay-Caller-Retry"
 	headerResult        = "Relay-Result"
+	headerRetryTaken    = "Relay-Retry-Taken"
 )
 
 // headers holds the names of all headers between hosts.
-var headers = []string{headerConfiguration, headerAttempts, headerElapsed, headerCounted, headerCallerRetry, headerResult, headerUnavailable, headerIDAdded}
+var headers = []string{headerConfiguration, headerAttempts, headerElapsed, headerCounted, headerCallerRetry, headerResult, headerUnavailable, headerIDAdded,
+	headerRetryTaken}
 
 const (
 	// maxAttempts and maxElapsed bound the values that are accepted.
@@ -98,6 +100,8 @@
 	Counted bool
 	// Unavailable reports whether the relay takes no requests at all for now.
 	Unavailable bool
+	// RetryTaken reports whether the relay has taken a retry from its budget and has not used it.
+	RetryTaken bool
 	// IDAdded reports whether the relay has added the request ID to a response without one.
 	IDAdded bool
 }
@@ -109,6 +113,7 @@
 	h.Set(headerAttempts, strconv.Itoa(r.Runs))
 	setFlag(h, headerCounted, r.Counted)
 	setFlag(h, headerUnavailable, r.Unavailable)
+	setFlag(h, headerRetryTaken, r.RetryTaken)
 	setFlag(h, headerIDAdded, r.IDAdded)
 }
 
@@ -117,7 +122,7 @@
 	var d decoder
 	r := Result{
 		Kind: Kind(d.value(h, headerResult)), Runs: int(d.number(h, headerAttempts, 0, maxAttempts)), Counted: d.flag(h, headerCounted),
-		Unavailable: d.flag(h, headerUnavailable), IDAdded: d.flag(h, headerIDAdded),
+		Unavailable: d.flag(h, headerUnavailable), RetryTaken: d.flag(h, headerRetryTaken), IDAdded: d.flag(h, headerIDAdded),
 	}
 	switch r.Kind {
 	case Response, Failed:
--- a/relay/headers_test.go
+++ b/relay/headers_test.go
@@ -67,6 +67,7 @@
 		{Result{Kind: Failed, Runs: 1}, true}, {Result{Kind: Failed, Runs: 0}, false},
 		{Result{Kind: Rejected, Counted: true}, true}, {Result{Kind: Rejected, Runs: 1}, false},
 		{Result{Kind: NotTaken, Runs: 0}, true}, {Result{Kind: NotTaken, Runs: 1}, false},
+		{Result{Kind: NotTaken, RetryTaken: true, Unavailable: true}, true}, {Result{Kind: Response, Runs: 1, RetryTaken: true, IDAdded: true}, true},
 		{Result{Kind: "other", Runs: 0}, false}, {Result{Kind: "", Runs: 0}, false}, {Result{Kind: Response, Runs: -1}, false},
 	}
 	for _, test := range tests {
