Choose the service of a relayed request once

A route that splits its requests was decided at the sender and again at the relay. The sender took retries from the budget of one service for a request that ran at another one, and an attempt after the first relay could go to another part of the split than the attempt before. The sender now states its choice. A relay follows it if its own configuration still sends requests of the route there, with a weight above 0, and chooses itself otherwise, as it does for a sender that states none.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -141,7 +141,7 @@
 		limit = q.meta.Timeout
 	}
 	q.deadline = q.started.Add(limit)
-	name := q.route.PickService(q.edge.settings.Host)
+	name := q.pickService(table)
 	spec, ok := table.Service(name)
 	if !ok {
 		q.reject(http.StatusServiceUnavailable, "no_service", startingRetryAfter)
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -74,7 +74,7 @@
 func (q *request) relayRequest(attempts int) *exchange.Request {
 	h := make(http.Header, len(q.r.Header)+6)
 	exchange.CopyEndToEndHeaders(h, q.r.Header)
-	stated := relay.Request{Attempts: attempts, Elapsed: time.Since(q.started), Counted: q.counted, CallerRetry: q.callerRetry}
+	stated := relay.Request{Attempts: attempts, Elapsed: time.Since(q.started), Counted: q.counted, CallerRetry: q.callerRetry, Service: q.service.name}
 	if table := q.edge.table.Load(); table != nil {
 		stated.Configuration = table.Configuration.Version
 	}
--- a/edge/relayharness_test.go
+++ b/edge/relayharness_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -18,6 +20,7 @@
 
 	"github.com/redwingtally/redwingtally/internal/standin"
 	"github.com/redwingtally/redwingtally/platform"
+	"github.com/redwingtally/redwingtally/relay"
 )
 
 // awaitRelays waits until every host knows all others as relays.
@@ -36,20 +39,44 @@
 // relayedCount returns how many requests a host has passed on ("sent") or has received from other hosts ("served"),
 // with one of the given results or with any.
 func (h *harness) relayedCount(host int, side string, results ...string) int {
+	const name = "redwingtally_relayed_requests_total"
+	if len(results) == 0 {
+		return h.metric(host, name, `side="`+side+`"`)
+	}
+	n := 0
+	for _, r := range results {
+		n += h.metric(host, name, `side="`+side+`"`, `result="`+r+`"`)
+	}
+	return n
+}
+
+// doRelayed sends a request to a host as another host does, with what that one states.
+func (h *harness) doRelayed(host int, stated relay.Request) response {
+	req, err := http.NewRequest(http.MethodGet, "http://"+h.settings[host].RelayAddress.String()+idempotentPath, http.NoBody)
+	qt.Assert(h.tb, err, qt.IsNil)
+	req.Host = "quotes.example"
+	id := fmt.Sprintf("request-%d", h.requests.Add(1))
+	platform.SetRequestMeta(req.Header, platform.RequestMeta{ID: id, Timeout: callerTimeout})
+	stated.Set(req.Header)
+	resp, err := http.DefaultClient.Do(req)
+	qt.Assert(h.tb, err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return response{id: id, status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// metric returns the sum of a host's metric over the series that have all the labels.
+func (h *harness) metric(host int, name string, labels ...string) int {
 	resp, err := http.Get("http://" + h.settings[host].MetricsAddress.String() + "/metrics")
 	qt.Assert(h.tb, err, qt.IsNil)
 	defer func() { _ = resp.Body.Close() }()
 	n := 0
 	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
-		labels, value, _ := strings.Cut(strings.TrimPrefix(lines.Text(), "redwingtally_relayed_requests_total"), " ")
-		if labels == lines.Text() || !strings.Contains(labels, `side="`+side+`"`) {
+		series, value, _ := strings.Cut(strings.TrimPrefix(lines.Text(), name), " ")
+		if series == lines.Text() || slices.ContainsFunc(labels, func(l string) bool { return !strings.Contains(series, l) }) {
 			continue
 		}
-		match := len(results) == 0
-		for _, r := range results {
-			match = match || strings.Contains(labels, `result="`+r+`"`)
-		}
-		if count, err := strconv.Atoi(value); err == nil && match {
+		if count, err := strconv.Atoi(value); err == nil {
 			n += count
 		}
 	}
--- a/edge/relayresult_test.go
+++ b/edge/relayresult_test.go
@@ -186,7 +186,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(got.Elapsed >= 300*time.Millisecond && got.Elapsed < 700*time.Millisecond, qt.IsTrue)
 	got.Elapsed = 0
-	c.Check(got, qt.Equals, relay.Request{Attempts: 2, Counted: true, CallerRetry: true})
+	c.Check(got, qt.Equals, relay.Request{Attempts: 2, Counted: true, CallerRetry: true, Service: "stock"})
 	meta := platform.ReadRequestMeta(sent.Header)
 	c.Check(meta.Timeout > 0 && meta.Timeout <= 700*time.Millisecond, qt.IsTrue, qt.Commentf("%s", meta.Timeout))
 	c.Check(platform.ExpectedTarget(sent.Header), qt.Equals, "")
--- a/edge/relayserver.go
+++ b/edge/relayserver.go
@@ -120,6 +120,17 @@
 	q.reject(http.StatusServiceUnavailable, reason, rejectedRetryAfter)
 }
 
+// pickService returns the service for the request. A relay follows the sender if its own
+// configuration sends requests of the route to that service.
+func (q *request) pickService(table *routing.Table) string {
+	if q.relayed != nil && q.route.SendsTo(q.relayed.Service) {
+		if _, ok := table.Service(q.relayed.Service); ok {
+			return q.relayed.Service
+		}
+	}
+	return q.route.PickService(q.edge.settings.Host)
+}
+
 // applyStated applies what the sender states to an admitted request: the attempts that
 // are left, and the objective as seen from the caller's arrival.
 func (q *request) applyStated() {
--- a/relay/headers.go
+++ b/relay/headers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -22,16 +23,19 @@
 	headerCallerRetry   = "Relay-Caller-Retry"
 	headerResult        = "Relay-Result"
 	headerRetryTaken    = "Relay-Retry-Taken"
+	headerService       = "Relay-Service"
 )
 
 // headers holds the names of all headers between hosts.
 var headers = []string{headerConfiguration, headerAttempts, headerElapsed, headerCounted, headerCallerRetry, headerResult, headerUnavailable, headerIDAdded,
-	headerRetryTaken}
+	headerRetryTaken, headerService}
 
 const (
 	// maxAttempts and maxElapsed bound the values that are accepted.
 	maxAttempts = 1000
 	maxElapsed  = time.Hour
+	// maxService bounds the encoded name of a service. Longer ones are not passed on.
+	maxService = 256
 	// flagSet is the value of a flag that is set. The header is absent otherwise.
 	flagSet = "1"
 )
@@ -46,6 +50,8 @@
 	Elapsed time.Duration
 	// Counted reports whether a host has counted the request for its load and its retry budget.
 	Counted bool
+	// Service is the service that the sender has chosen for the request, or empty.
+	Service string
 	// CallerRetry reports whether the caller repeats a request that was rejected before.
 	CallerRetry bool
 }
@@ -58,6 +64,9 @@
 	h.Set(headerElapsed, strconv.FormatInt(r.Elapsed.Milliseconds(), 10))
 	setFlag(h, headerCounted, r.Counted)
 	setFlag(h, headerCallerRetry, r.CallerRetry)
+	if service := url.QueryEscape(r.Service); service != "" && len(service) <= maxService {
+		h.Set(headerService, service)
+	}
 }
 
 // ReadRequest decodes the headers of a request. It returns ErrHeader.
@@ -68,6 +77,7 @@
 		Attempts:      int(d.number(h, headerAttempts, 1, maxAttempts)),
 		Elapsed:       time.Duration(d.number(h, headerElapsed, 0, uint64(maxElapsed.Milliseconds()))) * time.Millisecond,
 		Counted:       d.flag(h, headerCounted),
+		Service:       d.service(h),
 		CallerRetry:   d.flag(h, headerCallerRetry),
 	}
 	if d.err != nil {
@@ -184,6 +194,19 @@
 	return n
 }
 
+// service returns the name of the service, or an empty string if there is none.
+func (d *decoder) service(h http.Header) string {
+	if len(h[headerService]) == 0 {
+		return ""
+	}
+	value := d.value(h, headerService)
+	service, err := url.QueryUnescape(value)
+	if err != nil || service == "" || len(value) > maxService {
+		d.fail(headerService, value)
+	}
+	return service
+}
+
 // flag reports whether a flag is set.
 func (d *decoder) flag(h http.Header, name string) bool {
 	if len(h[name]) == 0 {
--- a/relay/headers_test.go
+++ b/relay/headers_test.go
@@ -14,6 +14,7 @@
 	tests := []Request{
 		{Attempts: 1},
 		{Configuration: 1<<64 - 1, Attempts: maxAttempts, Elapsed: maxElapsed, Counted: true, CallerRetry: true},
+		{Attempts: 1, Service: "stock+spare 1/ä\n%"},
 		{Configuration: 12, Attempts: 2, Elapsed: 1500 * time.Millisecond, CallerRetry: true},
 	}
 	for _, want := range tests {
@@ -27,6 +28,17 @@
 	}
 }
 
+// A name that does not fit is left out; the relay then chooses itself.
+func TestLongServiceIsNotPassedOn(t *testing.T) {
+	for _, test := range []struct{ length, want int }{{maxService, maxService}, {maxService + 1, 0}} {
+		h := http.Header{}
+		Request{Attempts: 1, Service: strings.Repeat("a", test.length)}.Set(h)
+		got, err := ReadRequest(h)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, got.Service, qt.HasLen, test.want)
+	}
+}
+
 func TestReadRequestRejects(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -43,6 +55,10 @@
 		{"fraction of an attempt", headerAttempts, []string{"1.5"}},
 		{"elapsed too long", headerElapsed, []string{"3600001"}},
 		{"unknown flag value", headerCounted, []string{"true"}},
+		{"service twice", headerService, []string{"a", "b"}},
+		{"empty service", headerService, []string{""}},
+		{"service with a malformed escape", headerService, []string{"a%2"}},
+		{"service too long", headerService, []string{strings.Repeat("a", maxService+1)}},
 		{"flag twice", headerCallerRetry, []string{"1", "1"}},
 	}
 	for _, test := range tests {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -15,6 +15,7 @@
 import (
 	"math"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -109,6 +110,13 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// SendsTo reports whether the route sends requests to a service.
+func (r *Route) SendsTo(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s platform.WeightedService) bool {
+		return s.Service == service && (s.Weight > 0 || len(r.Shares) == 1)
+	})
+}
+
 // next returns the next point of the sequence in [0, 1). seed is used by the first
 // call only.
 func (r *Route) next(seed string) float64 {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -66,6 +66,24 @@
 	}
 }
 
+func TestSendsTo(t *testing.T) {
+	tests := []struct {
+		shares  []platform.WeightedService
+		service string
+		want    bool
+	}{
+		{[]platform.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 2}}, "b", true},
+		{[]platform.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 2}}, "c", false},
+		{[]platform.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 2}}, "", false},
+		{[]platform.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 0}}, "b", false},
+		{[]platform.WeightedService{{Service: "a", Weight: 0}}, "a", true},
+	}
+	for _, test := range tests {
+		r := Route{Route: platform.Route{Shares: test.shares}}
+		qt.Check(t, r.SendsTo(test.service), qt.Equals, test.want, qt.Commentf("%v %q", test.shares, test.service))
+	}
+}
+
 func TestService(t *testing.T) {
 	c := qt.New(t)
 	s, ok := newTable().Service("stock")
