Bound the bytes of relayed bodies that a host holds

A relay took up to 256 requests at a time, each with up to 1 MB of its body in memory: 256 MB on hosts with 256 MB in all. It now reserves the memory before it reads a body, 32 MB at most, and refuses further requests at once like those above 256, so that their senders turn to other relays. Requests without a body need none.

--- a/edge/body.go
+++ b/edge/body.go
@@ -23,6 +23,14 @@
 	length int64
 }
 
+// bufferedBytes returns how many bytes of the body readBody buffers at most.
+func bufferedBytes(r *http.Request) int64 {
+	if r.ContentLength < 0 || r.ContentLength > maxBufferedBody {
+		return maxBufferedBody + 1
+	}
+	return r.ContentLength
+}
+
 // readBody buffers up to maxBufferedBody bytes of the caller's body. The bytes
 // must arrive by the deadline. A limit of zero allows any length.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (body, error) {
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -79,6 +79,12 @@
 // MaxRelayedRequests is the greatest number of relayed requests in progress on a host.
 const MaxRelayedRequests = maxRelayedRequests
 
+// MaxRelayedBytes is the greatest number of bytes of the bodies of relayed requests that a host holds at once.
+const MaxRelayedBytes = maxRelayedBytes
+
+// ReserveRelayed reserves memory for the bodies of relayed requests.
+func (e *Edge) ReserveRelayed(n int64) { e.relayServer.reserve(n) }
+
 // AddRelayed changes the number of relayed requests in progress.
 func (e *Edge) AddRelayed(n int64) { e.relayServer.inProgress.Add(n) }
 
--- a/edge/relayharness_test.go
+++ b/edge/relayharness_test.go
@@ -190,7 +190,7 @@
 	}))
 	h.tb.Cleanup(server.Close)
 	entry, err := platform.EncodeTarget(platform.Target{
-		Name: name, StartedAt: time.Now(), Service: service, Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Slots: 2,
+		Name: name, StartedAt: time.Now(), Service: service, Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Slots: 64,
 	}, 1)
 	qt.Assert(h.tb, err, qt.IsNil)
 	_, err = h.store.Put(context.Background(), platform.KindTargets, name, entry, platform.Unconditional())
--- a/edge/relayserver.go
+++ b/edge/relayserver.go
@@ -18,6 +18,8 @@
 const (
 	// maxRelayedRequests bounds the relayed requests in progress on a host.
 	maxRelayedRequests = 256
+	// maxRelayedBytes bounds the bytes of their bodies that are in memory.
+	maxRelayedBytes = 32 << 20
 	// relayHeaderBytes is the size of the headers that the sender adds to those of the caller.
 	relayHeaderBytes = 1 << 10
 	// relayKeepAlive is how long senders may keep a connection idle. The relay closes it only after relayIdleTimeout,
@@ -31,8 +33,21 @@
 type relayServer struct {
 	server     *http.Server
 	inProgress atomic.Int64
+	bodyBytes  atomic.Int64 // reserved for the bodies of the requests in progress
 }
 
+// reserve reserves n bytes for the body of a request, or returns false if too many are reserved.
+func (rs *relayServer) reserve(n int64) bool {
+	if rs.bodyBytes.Add(n) <= maxRelayedBytes {
+		return true
+	}
+	rs.release(n)
+	return false
+}
+
+// release gives n reserved bytes back.
+func (rs *relayServer) release(n int64) { rs.bodyBytes.Add(-n) }
+
 // startRelay starts the server for requests of other hosts if relaying is on.
 func (e *Edge) startRelay(context.Context) error {
 	if !e.relaying() {
@@ -111,7 +126,10 @@
 		reason = "relay_full"
 	case e.table.Load().Configuration.Version < stated.Configuration:
 		reason = "configuration_older"
+	case !e.relayServer.reserve(bufferedBytes(r)):
+		reason = "relay_full"
 	default:
+		defer e.relayServer.release(bufferedBytes(r))
 		q.counted, q.callerRetry = stated.Counted, stated.CallerRetry
 		q.handle()
 		return
--- a/edge/relayserver_test.go
+++ b/edge/relayserver_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,6 +91,7 @@
 		{"no configuration", func(h *relayHarness, host int) { h.edges[host].HideConfiguration() }, "not_taken"},
 		{"older configuration", func(h *relayHarness, host int) { h.edges[host].BackdateConfiguration() }, "not_taken"},
 		{"full", func(h *relayHarness, host int) { h.edges[host].AddRelayed(edge.MaxRelayedRequests) }, "not_taken"},
+		{"bodies", func(h *relayHarness, host int) { h.edges[host].ReserveRelayed(edge.MaxRelayedBytes) }, "not_taken"},
 		{"not listening", func(h *relayHarness, host int) { _ = h.edges[host].CloseRelayServer() }, "not_sent"},
 	}
 	for _, test := range tests {
@@ -276,3 +278,61 @@
 	c.Check(h.runs(got), qt.Equals, 3)
 	c.Check(h.edges[0].RequestRate("stock") < before+0.5, qt.IsTrue, qt.Commentf("one request adds a third"))
 }
+
+// The bodies of the relayed requests that a host holds at once are bounded in bytes. Further requests are refused
+// at once and have not run; those without a body are served.
+func TestRelayedBodiesAreBounded(t *testing.T) {
+	t.Parallel()
+	const bodies = 40
+	tests := []struct {
+		name string
+		size int
+	}{{"buffered", 1 << 20}, {"streamed", 3 << 19}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			h := newHarness(t, 2)
+			var armed atomic.Bool
+			var runs atomic.Int64
+			served := make(chan struct{})
+			h.handlerTarget("a", "stock", func(_ http.ResponseWriter, r *http.Request) {
+				if armed.Load() && r.Method == http.MethodPost {
+					runs.Add(1)
+					<-served
+				}
+			})
+			h.configure([]platform.Route{route("stock", "/holders/", platform.AtMostOnce)}, plain("stock"))
+			h.waitServing(0, idempotentPath)
+			h.waitServing(1, idempotentPath)
+			h.awaitRelays()
+			h.edges[0].SetCutOff(true)
+			armed.Store(true)
+			var wg sync.WaitGroup
+			var ok, refused atomic.Int64
+			for range bodies {
+				wg.Go(func() {
+					got := h.do(call{path: idempotentPath, method: http.MethodPost, body: strings.Repeat("x", test.size)})
+					switch {
+					case got.status == http.StatusOK:
+						ok.Add(1)
+					case got.status == http.StatusServiceUnavailable && got.body == "cut_off\n":
+						refused.Add(1)
+					default:
+						c.Check(got.err, qt.IsNil)
+						c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s", got.body))
+					}
+				})
+			}
+			h.eventually("all have arrived", func() bool { return int64(h.relayedCount(1, "served"))+h.edges[1].ActiveRequests() >= bodies })
+			c.Check(h.do(call{path: idempotentPath}).status, qt.Equals, http.StatusOK)
+			close(served)
+			wg.Wait()
+			c.Check(ok.Load(), qt.Equals, runs.Load())
+			c.Check(ok.Load() <= edge.MaxRelayedBytes>>20, qt.IsTrue, qt.Commentf("%d bodies were held at once", ok.Load()))
+			c.Check(ok.Load() >= edge.MaxRelayedBytes>>20-1, qt.IsTrue, qt.Commentf("%d served", ok.Load()))
+			c.Check(ok.Load()+refused.Load(), qt.Equals, int64(bodies))
+			got := h.do(call{path: idempotentPath, method: http.MethodPost, body: strings.Repeat("x", test.size)})
+			c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("the memory is given back: %s", got.body))
+		})
+	}
+}
