--- a/edge/relayresult_test.go
+++ b/edge/relayresult_test.go
@@ -111,6 +111,34 @@
 	}
 }
 
+// A relay is paused if it takes no requests at all, and not if it does not take this one.
+func TestRelayIsPausedIfUnavailable(t *testing.T) {
+	tests := []struct {
+		name    string
+		result  relay.Result
+		counted bool // by the sender, or by a relay before
+		usable  bool
+	}{
+		{"not taken", relay.Result{Kind: relay.NotTaken}, false, true},
+		{"not taken, counted by the relay", relay.Result{Kind: relay.NotTaken, Counted: true}, false, true},
+		{"not taken, counted before", relay.Result{Kind: relay.NotTaken}, true, true},
+		{"rejected", relay.Result{Kind: relay.Rejected}, true, true},
+		{"failed", relay.Result{Kind: relay.Failed, Runs: 1}, true, true},
+		{"takes none", relay.Result{Kind: relay.NotTaken, Unavailable: true}, false, false},
+		{"takes none any more", relay.Result{Kind: relay.NotTaken, Unavailable: true, Counted: true}, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			q, _, ticket, client := newPassedRequest(t, func(q *request) { q.counted = test.counted })
+			resp := &exchange.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
+			q.handleRelayResponse(context.Background(), ticket, client, resp, test.result)
+			_, _, ok := q.edge.relays.choose(nil)
+			c.Check(ok, qt.Equals, test.usable)
+		})
+	}
+}
+
 // A retry that was taken before the request is passed on serves once: it is taken again after a failure.
 func TestTakenRetryServesOnce(t *testing.T) {
 	tests := []struct {
