Give up relays that accept requests and then do nothing

A relay whose process is frozen, or whose host is lost without a reset, held a request until its deadline: the caller got 504, also for a request that may be repeated, and further requests went to the same relay until the first deadline had passed.

A relay that answers nothing for 200 ms while it has a request is now checked by a request that needs no target, 250 ms at most, one at a time for each relay. If the check goes unanswered, a request that may be repeated goes to another relay, charged to the retry budget and with all attempts of the first relay counted; others stay, as they may have run, and still get their response if it comes. The relay gets no requests until it answers a check; a slow target does not count as silence, as its relay answers. A relay that stops refuses the check and keeps its requests.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -48,7 +48,12 @@
 	q.retryTaken = false
 	q.edge.log.Info("relay: Request passed on.", "request", q.meta.ID, "service", q.service.name, "relay", ticket.Relay.Host,
 		"try", len(q.triedRelays), "attempts", attempts, "left_ms", time.Until(q.deadline).Milliseconds())
-	response, err := client.Do(ctx, q.relayRequest(attempts))
+	watched, detach := q.watchRelay(ctx, ticket, client, attempts)
+	response, err := client.Do(watched, q.relayRequest(attempts))
+	if givenUp := detach(); givenUp && err == nil {
+		response.Close() // the connection is closed already, with the rest of the response
+		err = eris.Wrap(exchange.ErrCancelled, "given up")
+	}
 	if err != nil {
 		return q.handleRelayError(ctx, ticket, client, attempts, err)
 	}
@@ -136,7 +141,7 @@
 	q.edge.relays.done(t, outcome)
 	q.possibleRuns += result.Runs
 	q.counted = q.counted || result.Counted
-	q.retryTaken = result.RetryTaken
+	q.retryTaken = q.retryTaken || result.RetryTaken
 	switch result.Kind {
 	case relay.NotTaken:
 		resp.Close()
--- a/edge/relayharness_test.go
+++ b/edge/relayharness_test.go
@@ -140,10 +140,30 @@
 // runs returns how often a request ran.
 func (h *relayHarness) runs(got response) int { return len(requestRuns(got.id, h.servers...)) }
 
-// A countingProxy passes connections on and counts them.
+// A countingProxy passes connections on and counts them. While it is frozen, it accepts connections and passes nothing on.
 type countingProxy struct {
 	address      netip.AddrPort
 	open, opened atomic.Int64
+	frozen       atomic.Bool
+}
+
+// pass copies from one connection to another one until the former ends.
+func (p *countingProxy) pass(to, from net.Conn) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		for p.frozen.Load() {
+			time.Sleep(5 * time.Millisecond) // polls
+		}
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
 }
 
 func newCountingProxy(tb testing.TB, to netip.AddrPort) *countingProxy {
@@ -167,8 +187,8 @@
 					return
 				}
 				defer func() { _ = far.Close() }()
-				go func() { _, _ = io.Copy(near, far) }()
-				_, _ = io.Copy(far, near) // ends when the sender closes the connection
+				go p.pass(near, far)
+				p.pass(far, near) // ends when the sender closes the connection
 			}()
 		}
 	}()
--- a/edge/relaypool.go
+++ b/edge/relaypool.go
@@ -25,6 +25,7 @@
 	listed   []coordination.Relay // as last received
 	selector *relay.Selector
 	clients  map[relay.Relay]*exchange.Client // of relays that were used
+	checks   map[relay.Relay]*relayCheck      // in progress
 	idle     *time.Timer                      // closes idle connections
 }
 
@@ -34,6 +35,7 @@
 		edge:     e,
 		selector: relay.NewSelector(relay.Options{Host: e.settings.Host, DataCentre: e.settings.DataCentre, Random: e.random}),
 		clients:  map[relay.Relay]*exchange.Client{},
+		checks:   map[relay.Relay]*relayCheck{},
 	}
 	p.idle = time.AfterFunc(relayPoolIdleTimeout, p.closeIdle)
 	return p
@@ -76,16 +78,25 @@
 func (p *relayPool) choose(tried []string) (relay.Ticket, *exchange.Client, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t, ok := p.selector.Choose(time.Now(), tried)
+	now := time.Now()
+	if silent, ok := p.selector.CheckDue(now); ok {
+		p.startCheck(silent, p.client(silent.Relay))
+	}
+	t, ok := p.selector.Choose(now, tried)
 	if !ok {
 		return t, nil, false
 	}
-	client := p.clients[t.Relay]
+	return t, p.client(t.Relay), true
+}
+
+// client returns the client of a relay. The caller holds p.mu.
+func (p *relayPool) client(r relay.Relay) *exchange.Client {
+	client := p.clients[r]
 	if client == nil {
-		client = exchange.New(t.Relay.Address, exchange.Options{MaxIdle: maxIdleRelayConnections, Spawn: p.edge.submit})
-		p.clients[t.Relay] = client
+		client = exchange.New(r.Address, exchange.Options{MaxIdle: maxIdleRelayConnections, Spawn: p.edge.submit})
+		p.clients[r] = client
 	}
-	return t, client, true
+	return client
 }
 
 // done ends a request at a relay.
--- a/edge/relayserver.go
+++ b/edge/relayserver.go
@@ -108,6 +108,10 @@
 
 // serveRelayed handles a request that another host passes on.
 func (e *Edge) serveRelayed(w http.ResponseWriter, r *http.Request) {
+	if relay.IsCheck(r.Header) {
+		answerCheck(w)
+		return
+	}
 	e.activeRequests.Add(1)
 	defer e.activeRequests.Add(-1)
 	active := e.relayServer.inProgress.Add(1)
--- a/relay/headers.go
+++ b/relay/headers.go
@@ -24,11 +24,12 @@
 	headerResult        = "Relay-Result"
 	headerRetryTaken    = "Relay-Retry-Taken"
 	headerService       = "Relay-Service"
+	headerCheck         = "Relay-Check"
 )
 
 // headers holds the names of all headers between hosts.
 var headers = []string{headerConfiguration, headerAttempts, headerElapsed, headerCounted, headerCallerRetry, headerResult, headerUnavailable, headerIDAdded,
-	headerRetryTaken, headerService}
+	headerRetryTaken, headerService, headerCheck}
 
 const (
 	// maxAttempts and maxElapsed bound the values that are accepted.
@@ -69,6 +70,12 @@
 	}
 }
 
+// SetCheck marks a request as a check of whether the relay answers.
+func SetCheck(h http.Header) { setFlag(h, headerCheck, true) }
+
+// IsCheck reports whether a request is a check of whether the relay answers.
+func IsCheck(h http.Header) bool { return len(h[headerCheck]) > 0 }
+
 // ReadRequest decodes the headers of a request. It returns ErrHeader.
 func ReadRequest(h http.Header) (Request, error) {
 	var d decoder
--- a/relay/headers_test.go
+++ b/relay/headers_test.go
@@ -99,6 +99,16 @@
 	qt.Check(t, eris.Is(err, ErrHeader), qt.IsTrue)
 }
 
+func TestCheck(t *testing.T) {
+	c := qt.New(t)
+	h := http.Header{}
+	c.Check(IsCheck(h), qt.IsFalse)
+	SetCheck(h)
+	c.Check(IsCheck(h), qt.IsTrue)
+	Request{Attempts: 1}.Set(h) // a caller's header does not make its request a check
+	c.Check(IsCheck(h), qt.IsFalse)
+}
+
 func TestAttemptsFor(t *testing.T) {
 	for _, test := range [][2]int{{0, 1}, {1, 1}, {2, 1}, {3, 2}} {
 		qt.Check(t, AttemptsFor(test[0]), qt.Equals, test[1])
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,9 @@
 //     another relay may take it.
 //   - A Selector selects the relay for the next request.
 //
+// A relay that answers nothing for a while is checked, and gets no requests from when a check
+// goes unanswered until it answers one; see Selector.Checked.
+//
 // A relayed request is never relayed again. The relay serves relayed requests on a
 // listener of its own, which callers do not reach, and trusts no header for it.
 //
--- a/relay/selector.go
+++ b/relay/selector.go
@@ -60,6 +60,7 @@
 	pause        time.Duration // the last pause; 0 after an answer
 	pausedUntil  time.Time
 	lastResponse time.Time
+	silent       bool // found to accept connections at most; usable again when it answers
 }
 
 // Ticket is a request at a relay. Done takes it back.
@@ -125,7 +126,7 @@
 	}
 	for i := range s.relays {
 		r := s.relays[(start+i)%len(s.relays)]
-		usable := r.inProgress < maxInProgress && !now.Before(r.pausedUntil) && !slices.Contains(tried, r.Host)
+		usable := r.inProgress < maxInProgress && !r.silent && !now.Before(r.pausedUntil) && !slices.Contains(tried, r.Host)
 		if usable && (r.DataCentre == s.options.DataCentre) == near && (least == nil || r.inProgress < least.inProgress) {
 			least = r
 		}
@@ -137,20 +138,60 @@
 func (s *Selector) Done(now time.Time, t Ticket, o Outcome) {
 	r := t.state
 	r.inProgress--
-	paused := now.Before(r.pausedUntil)
 	switch {
 	case o == Answered:
-		r.lastResponse = now
-		if !paused { // else a request from before the failure ended
+		r.answered(now)
+		if !now.Before(r.pausedUntil) { // else a request from before the failure ended
 			r.pause = 0
 		}
 		return
 	case o == Refused:
-		r.lastResponse = now
+		r.answered(now)
 	case o == Abandoned, o == TimedOut && r.lastResponse.After(t.SentAt):
 		return
 	}
-	if paused { // the failures of requests in progress at the same time count once
+	r.fail(now)
+}
+
+// SilentFor returns for how long a relay has not answered any request since it was sent that of the ticket.
+func (s *Selector) SilentFor(now time.Time, t Ticket) time.Duration {
+	if t.state.lastResponse.After(t.SentAt) {
+		return now.Sub(t.state.lastResponse)
+	}
+	return now.Sub(t.SentAt)
+}
+
+// Checked records whether a relay has answered a check. One that has not gets no requests until it answers.
+func (s *Selector) Checked(now time.Time, t Ticket, answered bool) {
+	if answered {
+		t.state.answered(now)
+		return
+	}
+	t.state.silent = true
+	t.state.fail(now)
+}
+
+// CheckDue returns a silent relay whose pause has passed, to be checked again, or false if there is none.
+func (s *Selector) CheckDue(now time.Time) (Ticket, bool) {
+	for _, r := range s.relays {
+		if r.silent && !now.Before(r.pausedUntil) {
+			return Ticket{Relay: r.Relay, SentAt: now, state: r}, true
+		}
+	}
+	return Ticket{}, false
+}
+
+// answered records a response of the relay.
+func (r *relayState) answered(now time.Time) {
+	r.lastResponse = now
+	if r.silent {
+		r.silent, r.pause, r.pausedUntil = false, 0, time.Time{}
+	}
+}
+
+// fail pauses the relay. The failures of requests in progress at the same time count once.
+func (r *relayState) fail(now time.Time) {
+	if now.Before(r.pausedUntil) {
 		return
 	}
 	r.pause = min(maxPause, max(minPause, 2*r.pause))
--- a/relay/selector_test.go
+++ b/relay/selector_test.go
@@ -176,3 +176,54 @@
 	}
 	qt.Check(t, s.Len(), qt.Equals, maxKnown)
 }
+
+// A silent relay gets no requests, however long its pause, until it answers.
+func TestSilentRelay(t *testing.T) {
+	r := at("a", "derby", 1)
+	answers := []struct {
+		name   string
+		answer func(s *Selector, now time.Time, t Ticket)
+		usable bool
+	}{
+		{"none", func(*Selector, time.Time, Ticket) {}, false},
+		{"response", func(s *Selector, now time.Time, t Ticket) { s.Done(now, t, Answered) }, true},
+		{"check", func(s *Selector, now time.Time, t Ticket) { s.Checked(now, t, true) }, true},
+		{"timeout", func(s *Selector, now time.Time, t Ticket) { s.Done(now, t, TimedOut) }, false},
+		{"refusal", func(s *Selector, now time.Time, t Ticket) { s.Done(now, t, Refused) }, false},
+		{"no answer to a check", func(s *Selector, now time.Time, t Ticket) { s.Checked(now, t, false) }, false},
+	}
+	for _, test := range answers {
+		for _, after := range []time.Duration{0, minPause} {
+			t.Run(fmt.Sprint(test.name, " after ", after), func(t *testing.T) {
+				c := qt.New(t)
+				s := newSelector(r)
+				_, ticket := choose(s, start)
+				s.Checked(start, ticket, false)
+				now := start.Add(after)
+				host, _ := choose(s, now)
+				c.Check(host, qt.Equals, "")
+				again, due := s.CheckDue(now)
+				c.Check(due, qt.Equals, after > 0)
+				if due {
+					c.Check(again.Relay, qt.Equals, r)
+				}
+				test.answer(s, now, ticket)
+				host, _ = choose(s, now)
+				c.Check(host == "a", qt.Equals, test.usable)
+			})
+		}
+	}
+}
+
+func TestSilentFor(t *testing.T) {
+	c := qt.New(t)
+	s := newSelector(at("a", "derby", 1))
+	_, first := choose(s, start)
+	_, second := choose(s, start.Add(time.Second))
+	c.Check(s.SilentFor(start.Add(2*time.Second), first), qt.Equals, 2*time.Second)
+	c.Check(s.SilentFor(start.Add(2*time.Second), second), qt.Equals, time.Second)
+	s.Done(start.Add(1500*time.Millisecond), second, Answered)
+	c.Check(s.SilentFor(start.Add(2*time.Second), first), qt.Equals, 500*time.Millisecond)
+	_, third := choose(s, start.Add(2*time.Second))
+	c.Check(s.SilentFor(start.Add(2*time.Second), third), qt.Equals, time.Duration(0))
+}
