--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -383,6 +383,13 @@
 	{"co-grant-asks", "coordination/document.go", " && l.confirmedAt.After(l.confirmAfter)", "", "./coordination"},
 	{"co-grant-pause", "coordination/document.go", "interval, pause = confirmInterval, minConfirmInterval", "interval = confirmInterval", "./coordination"},
 	{"pl-grant-age", "platform/targetclient.go", "if !slot.conn.opened.Before(openedBefore) {", "if false {", "./platform"},
+	{"pl-grant-ended", "platform/targetclient.go", `	if ctx.Err() != nil {
+		return eris.Wrapf(ErrNotSent, "%s: %v", to.Address, ctx.Err())
+	}
+`, "", "./platform"},
+	{"co-grant-lease", "coordination/orders.go", `	if !l.leaseOutlastsOrder() {
+		return eris.Wrapf(`, `	if false {
+		return eris.Wrapf(`, "./coordination -run TestWaitingGrants"},
 	{"pl-grant-quiet", "platform/grantconn.go", "s.conn != nil && s.conn.quiet()", "s.conn != nil", "./platform"},
 	{"co-resign-store", "coordination/document.go", "!l.hasEnded() && !m.storeAnswers(ctx)", "!l.hasEnded() && false", "./coordination"},
 	{"co-handover", "coordination/leader.go", "if l.shouldHandOver(t) {", "if false {", "./coordination"},
