Check the lease again after a grant has waited, and count connections that do not last

Found in review. Now a connection that does not last until the confirmation counts as none (TestConnectionsThatDoNotLastCountAsUnanswered), and a grant that waits for others to the same target says nothing of the target. Measured: go test -race ./coordination, tests of grants and orders, passes twice.

--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -80,7 +80,7 @@
 		ctx, cancel := context.WithTimeout(ctx, ownership.GrantTimeout)
 		defer cancel()
 		err = l.sendGrant(ctx, to, platform.Grant{Keys: o.Span, FencingToken: o.Fence, TTL: o.HoldTime, HandoverToken: o.HandoverToken})
-		if eris.Is(err, platform.ErrConnectionTooNew) {
+		if eris.Is(err, platform.ErrConnectionTooNew) || eris.Is(err, platform.ErrConnectionBusy) {
 			return ownership.OrderWithheld, ""
 		}
 	} else {
@@ -107,19 +107,33 @@
 
 // sendGrant sends a grant to a process that already ran when the lease was last confirmed. If the connection to the target is
 // newer than that, it waits for the next confirmation, so that no process that has started after a successor took over, and that
-// remembers none of its tokens, accepts the grant.
+// remembers none of its tokens, accepts the grant. A connection that does not last until then counts as none.
 func (l *leader) sendGrant(ctx context.Context, to platform.Recipient, g platform.Grant) error {
+	err := l.grantIfConfirmed(ctx, to, g)
+	if !eris.Is(err, platform.ErrConnectionTooNew) {
+		return err
+	}
 	wait, cancel := context.WithTimeout(ctx, ownership.GrantTimeout/2) // leaves time for the response
 	defer cancel()
-	for {
-		l.mu.Lock()
-		confirmedAt := l.confirmedAt
-		l.mu.Unlock()
-		err := l.member.options.TargetClient.Grant(ctx, to, g, confirmedAt)
-		if !eris.Is(err, platform.ErrConnectionTooNew) || !l.awaitConfirmation(wait, now()) {
-			return err
-		}
+	if !l.awaitConfirmation(wait, now()) {
+		return err
+	}
+	err = l.grantIfConfirmed(ctx, to, g)
+	if eris.Is(err, platform.ErrConnectionTooNew) {
+		return eris.Wrapf(platform.ErrNotSent, "%s: connection was closed", to.Address)
+	}
+	return err
+}
+
+// grantIfConfirmed sends a grant if the lease outlasts it and the connection to the target is older than the last confirmation.
+func (l *leader) grantIfConfirmed(ctx context.Context, to platform.Recipient, g platform.Grant) error {
+	if !l.leaseOutlastsOrder() {
+		return eris.Wrapf(platform.ErrNotSent, "%s: lease has ended", to.Address)
 	}
+	l.mu.Lock()
+	confirmedAt := l.confirmedAt
+	l.mu.Unlock()
+	return l.member.options.TargetClient.Grant(ctx, to, g, confirmedAt)
 }
 
 // reportOrderResult passes on whether a target responded to an order, unless the order was
--- a/coordination/orders_test.go
+++ b/coordination/orders_test.go
@@ -132,6 +132,50 @@
 	qt.Check(t, now().Sub(began) < ownership.GrantTimeout, qt.IsTrue)
 }
 
+// A grant that waits for a confirmation is not sent if its leader has stopped meanwhile.
+func TestWaitingGrantsNeedALease(t *testing.T) {
+	c := qt.New(t)
+	address, calls := startCountingServer(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	l := newTestLeaderWhile(&atomic.Bool{})
+	time.AfterFunc(50*time.Millisecond, func() {
+		l.yieldTo(2)
+		l.mu.Lock()
+		l.confirmLocked(now())
+		l.mu.Unlock()
+	})
+	result, _ := l.sendOrder(context.Background(), ownership.Order{To: ownership.Incarnation{Name: "a", Address: address}, Fence: 1, HoldTime: HoldTime})
+	c.Check(result, qt.Equals, ownership.OrderNotSent)
+	c.Check(calls.Load(), qt.Equals, int32(0))
+}
+
+// A target that closes connections before the lease is confirmed counts as one that does not answer.
+func TestConnectionsThatDoNotLastCountAsUnanswered(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
+			_ = conn.Close()
+		}
+	}()
+	l := newTestLeaderWhile(nil)
+	attachStore(t, l)
+	ctx, cancel := context.WithCancel(context.Background())
+	var loop sync.WaitGroup
+	loop.Go(func() { l.confirmLoop(ctx) })
+	defer loop.Wait()
+	defer cancel()
+	var reports []bool
+	l.member.options.OrderResult = func(_ string, answered bool) { reports = append(reports, answered) }
+	for range 3 {
+		o := ownership.Order{To: ownership.Incarnation{Name: "a", Address: netip.MustParseAddrPort(ln.Addr().String())}, Fence: 1, HoldTime: HoldTime}
+		result, _ := l.sendOrder(ctx, o)
+		c.Check(result == ownership.OrderNotSent || result == ownership.OrderUnanswered, qt.IsTrue, qt.Commentf("%v", result))
+	}
+	c.Check(reports, qt.DeepEquals, []bool{false, false, false})
+}
+
 // TestGrantsReachNoProcessThatStartedAfterTheLeaseWasConfirmed guards against two owners after a takeover that the coordinator
 // does not know of: a process that starts then remembers none of the successor's tokens.
 func TestGrantsReachNoProcessThatStartedAfterTheLeaseWasConfirmed(t *testing.T) {
