Keep the headers of the stand-in target's rejections

Callers of the tests' systems saw: a plain 503 "not_owner" or "overloaded" from a stand-in target, as if it had run the request. Cause: rejectNotRun set Redwing-Not-Run and Redwing-Reason before AbortWithMsg, which resets the response's headers. Daemons in the e2e tests therefore never saw a rejection, did not try again, and forwarded it; whichever test meets a lease that has just ended (after a takeover, or under load) fails with 503 instead of 200. Change: the headers are set after the reset.

--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -295,9 +295,9 @@
 
 // rejectNotRun rejects a request and marks it as not run.
 func (t *Target) rejectNotRun(c *app.RequestContext, reason string) {
+	c.AbortWithMsg(reason, 503) // resets the headers of the response
 	c.Header(target.NotRunHeader, "true")
 	c.Header(target.ReasonHeader, reason)
-	c.AbortWithMsg(reason, 503)
 }
 
 // acquireSlot waits for a slot. It returns false if the backlog is full or ctx ends.
