Read the hot keys from the daemon that holds the group now

Seen: TestHotKeyMovesAlone panicked, index out of range, beside load. Cause: not an error of the status call, which succeeded in both cases where it was logged. The test asked the daemon that held the group at its start. When another daemon takes the group over, which it may once heartbeats are late, the status of the former one lists no groups. The test is wrong. Change: groupStatus reads all daemons and uses the one that holds the group; two other tests that read the first group of a status unchecked use it too. A holder counts requests anew, so eventuallyHeld restarts its timeout (which only ends a test that hangs) with each term. What the test checks is as before, and it has two more cases, in which another daemon takes the group over while the key is hot.

--- a/e2e/guarantees_test.go
+++ b/e2e/guarantees_test.go
@@ -273,8 +273,8 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, r.Status, qt.Equals, 200)
 	eventually(t, "no request is in flight", func() bool {
-		st, _ := s.daemonStatus(s.awaitHolder("desk"))
-		return st.Groups[0].InFlight == 0
+		g, ok := s.groupStatus()
+		return ok && g.InFlight == 0
 	})
 	qt.Assert(t, ts[0].CompleteBodies(), qt.Equals, 1)
 }
@@ -353,8 +353,8 @@
 	s, ts := newUnkeyedSystem(t, 1, 2)
 	ts[0].SetFaults(standin.TargetFaults{Draining: true})
 	eventually(t, "the daemon reports the target as draining", func() bool {
-		st, _ := s.daemonStatus(0)
-		return st.Groups[0].Targets[0].Draining
+		g, ok := s.groupStatus()
+		return ok && g.Targets[0].Draining
 	})
 	ids := map[string]bool{}
 	for range 20 {
--- a/e2e/hotkey_test.go
+++ b/e2e/hotkey_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/redwingtally/redwingtally"
 	"github.com/redwingtally/redwingtally/entry"
+	"github.com/redwingtally/redwingtally/holder"
 	"github.com/redwingtally/redwingtally/internal/standin"
 	"github.com/redwingtally/redwingtally/service"
 )
@@ -64,14 +65,23 @@
 
 // TestHotKeyMovesAlone sends many requests for one key. The key must move to
 // another target without ever running on two targets, other keys must keep their
-// targets, and the key must move back once its traffic ends.
+// targets, and the key must move back once its traffic ends. With takeover,
+// another daemon takes over the group while the key has a target of its own.
 func TestHotKeyMovesAlone(t *testing.T) {
-	for _, checks := range []bool{true, false} {
-		t.Run(fmt.Sprintf("checks=%v", checks), func(t *testing.T) { testHotKeyMoves(t, checks) })
+	tests := []struct{ checks, takeover bool }{
+		{checks: true},
+		{checks: false},
+		{checks: true, takeover: true},
+		{checks: false, takeover: true},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("checks=%v,takeover=%v", test.checks, test.takeover), func(t *testing.T) {
+			testHotKeyMoves(t, test.checks, test.takeover)
+		})
 	}
 }
 
-func testHotKeyMoves(t *testing.T, checks bool) {
+func testHotKeyMoves(t *testing.T, checks, takeover bool) {
 	s := newSystem(t, 2)
 	tracker := newExecutionTracker()
 	addresses := make([]netip.AddrPort, 0, 4)
@@ -87,10 +97,10 @@
 	for i := range 2 {
 		s.startDaemon(i, redwingtally.WithHotKeyWindow(2*time.Second))
 	}
-	holder := s.awaitHolder("desk")
+	entryAddress := s.otherEntry("desk")
 	keys := shardKeys(32)
 	requestFor := func(key, work string) {
-		r, err := call(s.entries[1-holder], "GET", "/desk/pages", waitTimeout, [2]string{entry.KeyHeader, key}, [2]string{standin.ServiceTimeHeader, work})
+		r, err := call(entryAddress, "GET", "/desk/pages", waitTimeout, [2]string{entry.KeyHeader, key}, [2]string{standin.ServiceTimeHeader, work})
 		qt.Check(t, err, qt.IsNil)
 		qt.Check(t, r.Status, qt.Equals, 200, qt.Commentf("%s", r.Body))
 	}
@@ -122,18 +132,24 @@
 			}
 		})
 	}
-	hotKeyCount := func() int {
-		st, _ := s.daemonStatus(holder)
-		return len(st.Groups[0].HotKeys)
+	s.eventuallyHeld("the hot key has a target of its own", func(g holder.Status) bool {
+		return len(g.HotKeys) == 1 && tracker.lastTarget(hot) != initialTarget
+	})
+	if takeover {
+		s.takeOver()
+		s.eventuallyHeld("the hot key has a target of its own after the takeover", func(g holder.Status) bool {
+			return len(g.HotKeys) == 1 && g.UnownedShards == 0
+		})
+		request(hot)
+		qt.Assert(t, tracker.lastTarget(hot), qt.Not(qt.Equals), initialTarget)
 	}
-	eventually(t, "the hot key has a target of its own", func() bool { return hotKeyCount() == 1 && tracker.lastTarget(hot) != initialTarget })
 	stop.Store(true)
 	wg.Wait()
 	for _, k := range keys {
 		request(k)
 		qt.Check(t, tracker.lastTarget(k), qt.Equals, initialTargets[k])
 	}
-	eventually(t, "the key returns to its shard", func() bool { return hotKeyCount() == 0 })
+	s.eventuallyHeld("the key returns to its shard", func(g holder.Status) bool { return len(g.HotKeys) == 0 })
 	request(hot)
 	qt.Assert(t, tracker.lastTarget(hot), qt.Equals, initialTarget)
 	qt.Assert(t, tracker.concurrent, qt.HasLen, 0)
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -21,11 +21,14 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/redwingtally/redwingtally"
+	"github.com/redwingtally/redwingtally/grant"
+	"github.com/redwingtally/redwingtally/holder"
 	"github.com/redwingtally/redwingtally/internal/ports"
 	"github.com/redwingtally/redwingtally/internal/programs"
 	"github.com/redwingtally/redwingtally/internal/standin"
 	"github.com/redwingtally/redwingtally/lane"
 	"github.com/redwingtally/redwingtally/operator"
+	"github.com/redwingtally/redwingtally/peer"
 	"github.com/redwingtally/redwingtally/placement"
 	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/record"
@@ -194,6 +197,69 @@
 	return holder
 }
 
+// groupStatus returns the status of the service desk at the daemon that holds it. It
+// returns false if a status cannot be read, or if no daemon or more than one reports
+// to hold the group.
+func (s *system) groupStatus() (holder.Status, bool) {
+	var found []holder.Status
+	for i := range s.settings {
+		st, ok := s.daemonStatus(i)
+		if !ok {
+			return holder.Status{}, false
+		}
+		for _, g := range st.Groups {
+			if g.Service == "desk" {
+				found = append(found, g)
+			}
+		}
+	}
+	if len(found) != 1 {
+		return holder.Status{}, false
+	}
+	return found[0], true
+}
+
+// eventuallyHeld polls f with the status of the service desk at its holder until f
+// returns true. It fails the test waitTimeout after the last takeover: a holder counts
+// requests and times out targets anew under each term.
+func (s *system) eventuallyHeld(what string, f func(holder.Status) bool) {
+	s.tb.Helper()
+	term := ""
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); {
+		if g, ok := s.groupStatus(); ok {
+			if g.Term != term {
+				term = g.Term
+				end = time.Now().Add(waitTimeout)
+			}
+			if f(g) {
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond) // polling interval
+	}
+	s.tb.Fatalf("condition not met in time: %s", what)
+}
+
+// takeOver makes a daemon that does not hold the service desk take it over.
+func (s *system) takeOver() {
+	s.tb.Helper()
+	next := (s.awaitHolder("desk") + 1) % len(s.settings)
+	before, _ := s.groupStatus()
+	var counter, incarnation uint32
+	_, err := fmt.Sscanf(before.Term, "%d.%x", &counter, &incarnation)
+	qt.Assert(s.tb, err, qt.IsNil)
+	clients := peer.NewClients(func(int, int) {})
+	defer clients.Close()
+	handover := peer.Handover{Group: "desk", Term: grant.NewTerm(counter, incarnation)}
+	accepted, err := clients.Handover(context.Background(), s.settings[next].ControlAddress, handover)
+	qt.Assert(s.tb, err, qt.IsNil)
+	qt.Assert(s.tb, accepted, qt.IsTrue)
+	eventually(s.tb, "another daemon holds desk", func() bool {
+		g, ok := s.groupStatus()
+		return ok && g.Term != before.Term && g.UnownedShards == 0
+	})
+}
+
 // call sends a request without a body to an address and returns the response.
 func call(address netip.AddrPort, method, path string, timeout time.Duration, headers ...[2]string) (lane.Response, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
