Reject invalid request ids while their table is closed

Callers saw: 503 request_id_not_kept, "the same id may be sent again", not run: unknown, for a malformed request id, one from the future or one older than ids are kept, while the holder's table of ids was closed, as it is after a takeover or when a keeper is lost. No table ever admits such an id. Cause: the holder asked only the open table for the verdict. Change: once.Check gives the verdict on an id that needs no table; the holder asks it when the table does not open, and Table.Admit uses it after its entries, as before. With an open table nothing changes. This is the second half of what TestInvalidRequests showed once.

The first half, a dial that found the caller's 20 s passed, is not traced.

--- a/holder/admit.go
+++ b/holder/admit.go
@@ -49,6 +49,10 @@
 	}
 	for range maxAdmitAttempts {
 		if open := g.awaitOpenTable(ctx); !open {
+			if v := once.Check(time.Now(), j.incoming.RequestID); v != once.VerdictRun {
+				g.reject(c, j, idRefusal(v))
+				return admissionAnswered
+			}
 			if g.holderIdle() {
 				return admissionNotHolder
 			}
--- a/holder/ids_test.go
+++ b/holder/ids_test.go
@@ -85,11 +85,17 @@
 func serveOnce(t *testing.T, g *Group) (*app.RequestContext, string, bool) {
 	id, err := once.NewID(time.Now(), nil)
 	qt.Assert(t, err, qt.IsNil)
+	c, answered := serveID(t, g, id)
+	return c, id, answered
+}
+
+// serveID sends a once-only request with an id and returns its context and whether it
+// was answered here.
+func serveID(t *testing.T, g *Group, id string) (*app.RequestContext, bool) {
 	c := app.NewContext(0)
 	body, err := NewBody(c)
 	qt.Assert(t, err, qt.IsNil)
-	answered := g.Serve(context.Background(), c, IncomingRequest{Method: "POST", Path: "/", RequestID: id, ReceivedAt: time.Now(), Body: body})
-	return c, id, answered
+	return c, g.Serve(context.Background(), c, IncomingRequest{Method: "POST", Path: "/", RequestID: id, ReceivedAt: time.Now(), Body: body})
 }
 
 // eventually waits until f returns true. The timeout only ends a test that hangs.
@@ -114,6 +120,51 @@
 	qt.Assert(t, tg.Runs()[id], qt.Equals, 0)
 }
 
+// TestInvalidIDsAreRejectedWithoutTable sends ids while the table of request ids is
+// closed, as it is after a takeover. An id that no table admits must be rejected for
+// that reason, so that its caller does not send it again.
+func TestInvalidIDsAreRejectedWithoutTable(t *testing.T) {
+	blocked := make(chan struct{})
+	t.Cleanup(func() { close(blocked) })
+	g, tg := newOnceOnlyGroup(t, func(once.Update) bool {
+		<-blocked
+		return true
+	})
+	eventually(t, func() bool {
+		_, held := g.HeldTerm()
+		return held
+	})
+	issuedAt := func(at time.Time) string {
+		id, err := once.NewID(at, nil)
+		qt.Assert(t, err, qt.IsNil)
+		return id
+	}
+	now := time.Now()
+	tests := []struct {
+		name   string
+		id     string
+		status int
+		code   refusal.Code
+		notRun refusal.NotRun
+	}{
+		{"no id", "", 400, refusal.CodeIDRequired, refusal.NotRunTrue},
+		{"malformed", "17", 400, refusal.CodeIDMalformed, refusal.NotRunTrue},
+		{"from the future", issuedAt(now.Add(time.Hour)), 400, refusal.CodeIDInFuture, refusal.NotRunTrue},
+		{"too old", issuedAt(now.Add(-2 * once.RetentionWindow)), 409, refusal.CodeIDTooOld, refusal.NotRunUnknown},
+		{"valid", issuedAt(now), 503, refusal.CodeIDNotRecorded, refusal.NotRunUnknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, answered := serveID(t, g, test.id)
+			qt.Assert(t, answered, qt.IsTrue)
+			qt.Assert(t, c.Response.StatusCode(), qt.Equals, test.status, qt.Commentf("%s", c.Response.Body()))
+			qt.Assert(t, string(c.Response.Header.Peek(target.ReasonHeader)), qt.Equals, string(test.code))
+			qt.Assert(t, string(c.Response.Header.Peek(target.NotRunHeader)), qt.Equals, string(test.notRun))
+			qt.Assert(t, tg.Runs(), qt.HasLen, 0)
+		})
+	}
+}
+
 func TestOnceOnlyRequestRunsOnce(t *testing.T) {
 	g, tg := newOnceOnlyGroup(t, func(once.Update) bool { return true })
 	eventually(t, func() bool {
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -48,6 +48,26 @@
 	}
 }
 
+func TestCheck(t *testing.T) {
+	tests := []struct {
+		name string
+		id   string
+		want Verdict
+	}{
+		{"malformed", "17", VerdictMalformed},
+		{"new id", id(t, now), VerdictRun},
+		{"within clock skew", id(t, now.Add(MaxClockSkew)), VerdictRun},
+		{"beyond clock skew", id(t, now.Add(MaxClockSkew+time.Millisecond)), VerdictInFuture},
+		{"at the start of the retention window", id(t, now.Add(-RetentionWindow)), VerdictRun},
+		{"before the retention window", id(t, now.Add(-RetentionWindow-time.Millisecond)), VerdictTooOld},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, Check(now, test.id), qt.Equals, test.want)
+		})
+	}
+}
+
 func TestAdmitDuplicate(t *testing.T) {
 	tab := New(time.Time{})
 	a := id(t, now)
--- a/once/table.go
+++ b/once/table.go
@@ -88,22 +88,32 @@
 	return &Table{completeSince: completeSince, entries: map[string]*Entry{}}
 }
 
+// Check returns the verdict on an id that needs no table: VerdictMalformed,
+// VerdictInFuture, VerdictTooOld, or VerdictRun if a table decides.
+func Check(now time.Time, id string) Verdict {
+	issued, err := IssuedAt(id)
+	switch {
+	case err != nil:
+		return VerdictMalformed
+	case issued.After(now.Add(MaxClockSkew)):
+		return VerdictInFuture
+	case issued.Before(now.Add(-RetentionWindow)):
+		return VerdictTooOld
+	}
+	return VerdictRun
+}
+
 // Admit checks whether the request with an id may run. With VerdictRun, it
 // records the id as started.
 func (t *Table) Admit(now time.Time, id string) Decision {
-	issued, err := IssuedAt(id)
-	if err != nil {
-		return Decision{Verdict: VerdictMalformed}
-	}
 	if e, ok := t.entries[id]; ok {
 		return decisionFor(e)
 	}
-	switch {
-	case issued.After(now.Add(MaxClockSkew)):
-		return Decision{Verdict: VerdictInFuture}
-	case issued.Before(now.Add(-RetentionWindow)):
-		return Decision{Verdict: VerdictTooOld}
-	case issued.Before(t.completeSince):
+	if v := Check(now, id); v != VerdictRun {
+		return Decision{Verdict: v}
+	}
+	issued, _ := IssuedAt(id)
+	if issued.Before(t.completeSince) {
 		return Decision{Verdict: VerdictUnknown}
 	}
 	t.removeExpired(now)
