Send the hanging attempts of a test on open connections

Cause: the test assumed that its request is sent before the cut is found. Without an idle connection to the chosen target it waits for one that does not open, has no attempt behind it, and is rightly passed on. The test opens connections to both targets first; its checks are as before.

--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -109,6 +109,7 @@
 			t.Parallel()
 			c := qt.New(t)
 			h := newNetworkedRelayHarness(t, 2, func(r *platform.Route) { r.Timeout, r.Attempts = 1200*time.Millisecond, test.attempts })
+			h.openConnections(0, test.path)
 			h.cutOffTargets(0, hang)
 			responses, began := make(chan response, 1), time.Now()
 			counted := h.edges[1].RequestRate("stock")
--- a/edge/relayharness_test.go
+++ b/edge/relayharness_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -125,6 +126,17 @@
 	return h
 }
 
+// openConnections makes a host hold idle connections to both targets of a path, on which the next request is sent at once.
+func (h *relayHarness) openConnections(host int, path string) {
+	var all sync.WaitGroup
+	for range 12 { // one target has 8 slots
+		all.Go(func() {
+			h.do(call{host: host, path: path, headers: map[string]string{standin.ServiceTimeHeader: "200ms"}})
+		})
+	}
+	all.Wait()
+}
+
 // addKeyed adds a keyed service.
 func (h *relayHarness) addKeyed() {
 	h.servers = append(h.servers, h.server(standin.ServerOptions{Name: "f", Service: "accounts", Slots: 8, Keyed: true}))
