--- a/edge/faults_test.go
+++ b/edge/faults_test.go
@@ -80,7 +80,7 @@
 	began := time.Now()
 	got := h.do(call{path: "/holders/1"})
 	took := time.Since(began)
-	c.Check(got.status, qt.Equals, http.StatusGatewayTimeout)
+	c.Check(got.status, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("%s", got.body))
 	c.Check(took >= 250*time.Millisecond && took < 800*time.Millisecond, qt.IsTrue, qt.Commentf("%s", took))
 }
 
