Log withheld grants

Operators would see: keys without an owner, and no line that says why, as a withheld grant is neither sent nor failed. Change: one line for each, with the owner, the keys, the token and the age of the lease's confirmation. Measured: go test ./coordination, tests of grants and orders, passes.

--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -81,6 +82,8 @@
 		defer cancel()
 		err = l.sendGrant(ctx, to, platform.Grant{Keys: o.Span, FencingToken: o.Fence, TTL: o.HoldTime, HandoverToken: o.HandoverToken})
 		if eris.Is(err, platform.ErrConnectionTooNew) || eris.Is(err, platform.ErrConnectionBusy) {
+			l.member.options.Log.Info("coordination: Grant withheld.", "target", o.To.Name, "service", o.Service, "first", o.Span.First,
+				"last", o.Span.Last, "fence", o.Fence, "confirmed_ms_ago", l.confirmationAge().Milliseconds(), "reason", err.Error())
 			return ownership.OrderWithheld, ""
 		}
 	} else {
@@ -136,6 +139,13 @@
 	return l.member.options.TargetClient.Grant(ctx, to, g, confirmedAt)
 }
 
+// confirmationAge returns the time since the call that last confirmed the lease was sent.
+func (l *leader) confirmationAge() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now().Sub(l.confirmedAt)
+}
+
 // reportOrderResult passes on whether a target responded to an order, unless the order was
 // given up as ctx had ended.
 func (l *leader) reportOrderResult(ctx context.Context, target string, err error) {
