Check idle connections to targets in one place

The pool of exchanges and that of grants asked in the same words whether an idle connection is open and has no unread bytes. Change: platform.Quiet does. No behaviour changes.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -88,19 +88,5 @@
 // reusable reports whether an idle connection is open, has no unread bytes and
 // has not expired.
 func (c *conn) reusable() bool {
-	if c.closed.Load() || !time.Now().Before(c.expires) || c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && noData
+	return !c.closed.Load() && time.Now().Before(c.expires) && c.reader.Buffered() == 0 && platform.Quiet(c.TCPConn)
 }
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -19,9 +19,9 @@
 	{"ex-writing", "exchange/receive.go", "if !x.writing {", "if true {", "./exchange"},
 	{"ex-rest-close", "exchange/receive.go", "if x.request.Rest != nil {", "if false {", "./exchange"},
 	{"ex-writeErr", "exchange/receive.go", "x.writeErr != nil || ", "", "./exchange"},
-	{"ex-alive-buf", "exchange/conn.go", " || c.reader.Buffered() > 0", "", "./exchange"},
-	{"ex-alive-until", "exchange/conn.go", " || !time.Now().Before(c.expires)", "", "./exchange"},
-	{"ex-alive-quiet", "exchange/conn.go", "return err == nil && noData", "return err == nil || noData", "./exchange"},
+	{"ex-alive-buf", "exchange/conn.go", " && c.reader.Buffered() == 0", "", "./exchange"},
+	{"ex-alive-until", "exchange/conn.go", " && time.Now().Before(c.expires)", "", "./exchange"},
+	{"ex-alive-quiet", "platform/dial.go", "return err == nil && noData", "return err == nil || noData", "./exchange"},
 	{"ex-nolistener", "exchange/conn.go", "case errors.Is(err, syscall.ECONNREFUSED):", "case false:", "./exchange"},
 	{"ex-maxhead", "exchange/receive.go", "x.conn.limit.limitTo(maxHeadBytes)", "x.conn.limit.unlimit()", "./exchange"},
 	{"ex-maxerror", "exchange/receive.go", "len(resp.Body) > MaxBufferedBody && resp.Status >= 300", "false && resp.Status >= 300", "./exchange"},
@@ -390,7 +390,7 @@
 	{"co-grant-lease", "coordination/orders.go", `	if !l.leaseOutlastsOrder() {
 		return eris.Wrapf(`, `	if false {
 		return eris.Wrapf(`, "./coordination -run TestWaitingGrants"},
-	{"pl-grant-quiet", "platform/grantconn.go", "s.conn != nil && s.conn.quiet()", "s.conn != nil", "./platform"},
+	{"pl-grant-quiet", "platform/grantconn.go", " && s.conn.reader.Buffered() == 0 && Quiet(s.conn.TCPConn)", "", "./platform"},
 	{"co-resign-store", "coordination/document.go", "!l.hasEnded() && !m.storeAnswers(ctx)", "!l.hasEnded() && false", "./coordination"},
 	{"co-handover", "coordination/leader.go", "if l.shouldHandOver(t) {", "if false {", "./coordination"},
 	{"fe-unconfirmed", "feed/feed.go", "if from >= k.version || k.unconfirmed {", "if from >= k.version {", "./feed"},
