Drop data of reset connections that the soak's proxy held back

Cause: the proxy had read a grant before a stall and acknowledged it, and delivered it up to four seconds later, although the coordinator had reset the connection after 400 ms. Hosts reset connections to take back what a target has not acknowledged (platform/dial.go); a network does not acknowledge for it, so the hold that the coordinator waits for had ended. Change: the proxy drops held data of connections that were reset; data of closed ones still arrives.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,11 +1,16 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
+	"testing"
 	"time"
+
+	qt "github.com/frankban/quicktest"
 )
 
 // proxyMode is the network fault that a proxy injects.
@@ -117,7 +122,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
-		if !p.awaitMode(toUpstream) {
+		if !p.awaitMode(toUpstream) || wasReset(src) {
 			return
 		}
 		if n > 0 {
@@ -151,3 +156,61 @@
 		}
 	}
 }
+
+// wasReset reports whether the peer has reset a connection. What it sent before is then not forwarded any more: a host
+// that resets a connection takes back what has not been acknowledged.
+func wasReset(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		reset = errors.Is(err, syscall.ECONNRESET)
+		return true
+	})
+	return err != nil || reset
+}
+
+// TestStalledDataOfResetConnectionsIsDropped guards against orders that the proxy delivers seconds after their host has taken
+// them back, which no host could tell from a second owner.
+func TestStalledDataOfResetConnectionsIsDropped(t *testing.T) {
+	tests := []struct {
+		name  string
+		reset bool
+		want  string
+	}{
+		{"reset", true, ""},
+		{"closed", false, "order"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = ln.Close() }()
+			p, err := startProxy(netip.MustParseAddrPort(ln.Addr().String()))
+			c.Assert(err, qt.IsNil)
+			defer p.stop()
+			host, err := net.Dial("tcp4", p.address().String())
+			c.Assert(err, qt.IsNil)
+			target, err := ln.Accept()
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = target.Close() }()
+			p.setMode(stallAll)
+			_, err = io.WriteString(host, "order")
+			c.Assert(err, qt.IsNil)
+			time.Sleep(50 * time.Millisecond) // the proxy has read the order
+			if test.reset {
+				resetConn(host)
+			} else {
+				_ = host.Close()
+			}
+			time.Sleep(50 * time.Millisecond) // the end of the connection has arrived
+			p.setMode(passThrough)
+			got, _ := io.ReadAll(target)
+			c.Check(string(got), qt.Equals, test.want)
+		})
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,6 +28,7 @@
 	cause string
 }{
 	{1796413181927615288, "responses of the stand-in's store lacked the era when they were errors, so that a host created a new document after a restore"},
+	{1796466679439387069, "the proxy delivered a grant seconds after its host had reset the connection"},
 }
 
 func TestRegressions(t *testing.T) {
