--- a/review/rig/forged.go
+++ b/review/rig/forged.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/redwingtally/redwingtally/platform"
@@ -13,6 +14,9 @@
 	forgedLength  = 20 * time.Second
 	// forgedAfter is when the other writer writes its entry.
 	forgedAfter = 8 * time.Second
+	// foreignName and foreignService are those of the other writer's entry.
+	foreignName    = "node-agent-1"
+	foreignService = "node-agent"
 	// maxOverlap is how long two upstreams may hold the same keys.
 	maxOverlap = 500 * time.Millisecond
 )
@@ -69,11 +73,15 @@
 }
 
 // writeForeignEntry writes the entry of a process of a service that the configuration does not name.
-func (s *system) writeForeignEntry(ctx context.Context, address fmt.Stringer) error {
-	entry := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":"node-agent","version":"v1","zone":"leicester","slots":1},`+
-		`"status":{"state":"ready","sequence":1,"warmupLeftMs":0}}`, address, time.Now().UnixMilli())
-	s.record.addf("foreign: servers/node-agent-1 %s", entry)
-	_, err := s.client.Put(ctx, platform.KindTargets, "node-agent-1", []byte(entry), platform.Unconditional())
+func (s *system) writeForeignEntry(ctx context.Context, address netip.AddrPort) error {
+	entry, err := platform.EncodeTarget(platform.Target{
+		Name: foreignName, StartedAt: time.Now(), Service: foreignService, Address: address, DataCentre: "leicester", Slots: 1,
+	}, 1)
+	if err != nil {
+		return err
+	}
+	s.record.addf("foreign: entry %s %s", foreignName, entry)
+	_, err = s.client.Put(ctx, platform.KindTargets, foreignName, entry, platform.Unconditional())
 	return err
 }
 
--- a/review/rig/upstream.go
+++ b/review/rig/upstream.go
@@ -18,14 +18,11 @@
 )
 
 const (
-	headerID     = "X-Redwingtally-Request-Id"
-	headerTarget = "X-Redwingtally-Instance-Id"
-	headerKey    = "X-Redwingtally-Shard-Key"
-	headerNotRun = "X-Redwingtally-Not-Executed"
-	headerStamp  = "X-Redwingtally-Server-Stamp"
-	healthPath   = "/health"
+	healthPath = "/health"
 	// heartbeat is the interval at which an upstream writes its entry.
 	heartbeat = 870 * time.Millisecond
+	// defaultTimeout is how long a request may wait for a slot that states no deadline.
+	defaultTimeout = time.Second
 )
 
 // upstreamOptions configure an upstream.
@@ -188,7 +185,7 @@
 
 // sendsCopy reports whether a second copy of an answer is due.
 func (u *upstream) sendsCopy(r *http.Request, a *answer) bool {
-	id := r.Header.Get(headerID)
+	id := platform.ReadRequestMeta(r.Header).ID
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.copyShare == 0 || id == "" && !u.copyOrders {
@@ -215,31 +212,28 @@
 	return b.Bytes()
 }
 
-func (u *upstream) newAnswer(status int, r *http.Request) *answer {
+// newAnswer returns an answer of this upstream to r with what meta states.
+func (u *upstream) newAnswer(status int, r *http.Request, meta platform.ResponseMeta) *answer {
 	a := &answer{status: status, header: http.Header{}}
-	a.header.Set(headerTarget, u.name)
-	if id := r.Header.Get(headerID); id != "" {
-		a.header.Set(headerID, id)
-	}
+	meta.ID = platform.ReadRequestMeta(r.Header).ID
+	platform.SetResponseMeta(a.header, u.name, meta)
 	return a
 }
 
 // notRun returns an answer that states that the request has not run.
 func (u *upstream) notRun(status int, r *http.Request) *answer {
-	a := u.newAnswer(status, r)
-	a.header.Set(headerNotRun, "1")
-	u.record.addf("refuse: %s answers %d not run to %s", u.name, status, r.Header.Get(headerID))
-	return a
+	u.record.addf("refuse: %s answers %d not run to %s", u.name, status, platform.ReadRequestMeta(r.Header).ID)
+	return u.newAnswer(status, r, platform.ResponseMeta{NotExecuted: true})
 }
 
 // answer handles one request.
 func (u *upstream) answer(r *http.Request, body []byte) *answer {
 	if expected := platform.ExpectedTarget(r.Header); expected != "" && expected != u.name {
-		return u.newAnswer(http.StatusMisdirectedRequest, r)
+		return u.newAnswer(http.StatusMisdirectedRequest, r, platform.ResponseMeta{})
 	}
 	switch r.URL.Path {
 	case healthPath:
-		return u.newAnswer(http.StatusOK, r)
+		return u.newAnswer(http.StatusOK, r, platform.ResponseMeta{})
 	case platform.GrantPath, platform.ReleasePath:
 		return u.order(r, body)
 	}
@@ -250,11 +244,11 @@
 func (u *upstream) order(r *http.Request, body []byte) *answer {
 	o, err := platform.DecodeGrant(bytes.NewReader(body))
 	if err != nil {
-		return u.newAnswer(http.StatusBadRequest, r)
+		return u.newAnswer(http.StatusBadRequest, r, platform.ResponseMeta{})
 	}
 	if r.URL.Path == platform.ReleasePath {
 		u.release(o.Keys)
-		a := u.newAnswer(http.StatusOK, r)
+		a := u.newAnswer(http.StatusOK, r, platform.ResponseMeta{})
 		platform.SetHandoverToken(a.header, "handover-"+u.name)
 		return a
 	}
@@ -263,7 +257,7 @@
 		u.granted(u, g)
 	}
 	u.record.addf("grant: %s answers %d to keys %d-%d fence %d hold %s", u.name, status, o.Keys.First, o.Keys.Last, o.FencingToken, o.TTL)
-	return u.newAnswer(status, r)
+	return u.newAnswer(status, r, platform.ResponseMeta{})
 }
 
 func overlap(a, b platform.KeyRange) bool { return a.First <= b.Last && b.First <= a.Last }
@@ -373,33 +367,30 @@
 
 // serve runs a client's request, or refuses it.
 func (u *upstream) serve(r *http.Request, body []byte) *answer {
-	id := r.Header.Get(headerID)
-	if id == "" {
+	meta := platform.ReadRequestMeta(r.Header)
+	if meta.ID == "" {
 		return u.notRun(http.StatusBadRequest, r)
 	}
-	key, err := strconv.ParseUint(r.Header.Get(headerKey), 10, 16)
-	hasKey := err == nil
-	left, err := strconv.Atoi(r.Header.Get("X-Redwingtally-Deadline-Ms"))
-	if err != nil {
-		left = 1000
+	timeout := meta.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
 	}
-	run, status := u.begin(id, uint16(key), hasKey, time.Now().Add(time.Duration(left)*time.Millisecond))
+	run, status := u.begin(meta, time.Now().Add(timeout))
 	if status != http.StatusOK {
 		return u.notRun(status, r)
 	}
 	time.Sleep(time.Duration(float64(u.work) * (0.5 + rand.Float64())))
-	u.end(run, id)
-	a := u.newAnswer(http.StatusOK, r)
-	a.header.Set(headerStamp, "stamp-"+u.name)
-	a.body = fmt.Sprintf("%s read %d bytes of %s\n", u.name, len(body), id)
+	u.end(run, meta.ID)
+	a := u.newAnswer(http.StatusOK, r, platform.ResponseMeta{Signed: true})
+	a.body = fmt.Sprintf("%s read %d bytes of %s\n", u.name, len(body), meta.ID)
 	return a
 }
 
 // begin waits for a slot and begins a run. It returns the number of the run, or the status of the refusal.
-func (u *upstream) begin(id string, key uint16, hasKey bool, deadline time.Time) (run, status int) {
+func (u *upstream) begin(meta platform.RequestMeta, deadline time.Time) (run, status int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.keyed && (!hasKey || !u.holdsLocked(key)) {
+	if u.keyed && (!meta.HasKey || !u.holdsLocked(meta.Key)) {
 		return 0, http.StatusMisdirectedRequest
 	}
 	if len(u.running) >= u.slots && u.waiting >= u.queue {
@@ -419,13 +410,13 @@
 			return 0, http.StatusServiceUnavailable
 		}
 	}
-	if u.keyed && !u.holdsLocked(key) {
+	if u.keyed && !u.holdsLocked(meta.Key) {
 		return 0, http.StatusMisdirectedRequest
 	}
 	u.lastRun++
-	u.running[u.lastRun] = work{id: id, key: key, heldUntil: u.heldUntil(key)}
-	u.runs[id]++
-	u.record.addf("run: %s begins %s, run %d of it here", u.name, id, u.runs[id])
+	u.running[u.lastRun] = work{id: meta.ID, key: meta.Key, heldUntil: u.heldUntil(meta.Key)}
+	u.runs[meta.ID]++
+	u.record.addf("run: %s begins %s, run %d of it here", u.name, meta.ID, u.runs[meta.ID])
 	return u.lastRun, http.StatusOK
 }
 
