--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -29,14 +29,26 @@
 	method string
 	// pick returns the key of the next request; if it is nil, the callers use keys in turn.
 	pick func() uint16
+	// timeout is the time for which the callers wait.
+	timeout time.Duration
 
 	mu       sync.Mutex
 	sent     int
 	statuses map[string]int // by id; 0 means that no complete answer came
+	answers  []callerAnswer
+}
+
+// A callerAnswer is what a caller got for a request.
+type callerAnswer struct {
+	id       string
+	daemon   *daemon
+	sent, at time.Time
+	status   int  // 0 means that no complete answer came
+	signed   bool // the answer is an upstream's
 }
 
 func newLoad(r *record, path string, keys []uint16, pause time.Duration, bytes int) *load {
-	return &load{record: r, path: path, keys: keys, pause: pause, bytes: bytes, method: http.MethodPost, statuses: map[string]int{}}
+	return &load{record: r, path: path, keys: keys, pause: pause, bytes: bytes, method: http.MethodPost, timeout: callerTimeout, statuses: map[string]int{}}
 }
 
 // run sends requests with callers callers to each daemon until ctx ends, and waits for the last answers.
@@ -51,7 +63,7 @@
 }
 
 func (l *load) call(ctx context.Context, d *daemon, caller int) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: callerTimeout}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: l.timeout}
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		key := uint16(0)
@@ -77,21 +89,23 @@
 	}
 	r.GetBody = nil // net/http must not send the request again
 	r.Host = callerHost
-	platform.SetRequestMeta(r.Header, platform.RequestMeta{ID: id, Timeout: callerTimeout, Key: key, HasKey: true})
+	platform.SetRequestMeta(r.Header, platform.RequestMeta{ID: id, Timeout: l.timeout, Key: key, HasKey: true})
 	l.record.addf("send: %s key %d to %s", id, key, d.host)
-	status := 0
+	a := callerAnswer{id: id, daemon: d, sent: time.Now()}
 	if resp, err := client.Do(r); err == nil {
 		_, err := io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
 		if err == nil {
-			status = resp.StatusCode
+			a.status, a.signed = resp.StatusCode, platform.ReadResponseMeta(resp.StatusCode, resp.Header).Signed
 		}
 	}
-	l.record.addf("answer: %s %d", id, status)
+	a.at = time.Now()
+	l.record.addf("answer: %s %d", id, a.status)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sent++
-	l.statuses[id] = status
+	l.statuses[id] = a.status
+	l.answers = append(l.answers, a)
 }
 
 // summary returns how many requests ended with each status.
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -24,9 +24,12 @@
 
 // cases holds the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(s *system, trouble bool) (bool, error){
-	"refusal": runRefusal,
-	"release": runRelease,
-	"forged":  runForged,
+	"refusal":   runRefusal,
+	"release":   runRelease,
+	"forged":    runForged,
+	"unread":    runUnread,
+	"added":     runAdded,
+	"fragments": runFragments,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -39,6 +40,8 @@
 	processes []*process
 	daemons   []*daemon
 	upstreams []*upstream
+	// shutdown is the time from SIGTERM to SIGKILL in the settings of the daemons.
+	shutdown time.Duration
 }
 
 // A process is a program that the system started.
@@ -51,9 +54,11 @@
 // A daemon is the process of one edge host.
 type daemon struct {
 	*process
-	host  string
-	entry netip.AddrPort
-	ready netip.AddrPort
+	host     string
+	entry    netip.AddrPort
+	ready    netip.AddrPort
+	settings string     // path of the settings file for later starts
+	stops    []workTime // from each SIGTERM to the end of the process
 }
 
 // newSystem returns a system whose store answers.
@@ -62,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{record: r, dir: dir, store: freeAddress()}
+	s := &system{record: r, dir: dir, store: freeAddress(), shutdown: 6 * time.Second}
 	if _, err := s.start("store", storeProgram, "platform", "--era", "1", "--address", s.store.String()); err != nil {
 		return s, err
 	}
@@ -171,18 +176,19 @@
 	for i := range n {
 		d := &daemon{host: fmt.Sprintf("edge-%d", i+1), entry: freeAddress(), ready: freeAddress()}
 		file := filepath.Join(s.dir, d.host+".yaml")
-		settings := fmt.Sprintf("host: %s\ndata_centre: leicester\nentry_address: %q\nready_address: %q\ncontrol_address: %q\nmetrics_address: %q\n"+
-			"store_address: %q\nrelay_address: %q\nmemory_mb: 284\ncpu_share: 0.32\ndrain: 2000ms\nshutdown: 6s\n"+
-			"retry_window: 10s\nretry_ratio: 0.2\nretry_extra: 56\nfirst_start: true\n",
-			d.host, d.entry, d.ready, freeAddress(), freeAddress(), s.store, freeAddress())
-		if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		common := fmt.Sprintf("host: %s\ndata_centre: leicester\nentry_address: %q\nready_address: %q\ncontrol_address: %q\nmetrics_address: %q\n"+
+			"store_address: %q\nrelay_address: %q\nmemory_mb: 284\ncpu_share: 0.32\ndrain: 2000ms\nshutdown: %s\n"+
+			"retry_window: 10s\nretry_ratio: 0.2\nretry_extra: 56\n",
+			d.host, d.entry, d.ready, freeAddress(), freeAddress(), s.store, freeAddress(), s.shutdown)
+		again := filepath.Join(s.dir, d.host+"-again.yaml")
+		if err := errors.Join(os.WriteFile(file, []byte(common+"first_start: true\n"), 0o600), os.WriteFile(again, []byte(common), 0o600)); err != nil {
 			return err
 		}
 		p, err := s.start(d.host, edgeProgram, "--settings", file)
 		if err != nil {
 			return err
 		}
-		d.process = p
+		d.process, d.settings = p, again
 		s.daemons = append(s.daemons, d)
 	}
 	for _, d := range s.daemons {
@@ -193,6 +199,36 @@
 	return nil
 }
 
+// restart starts a daemon again whose process has ended, and waits until it is ready.
+func (s *system) restart(d *daemon) error {
+	p, err := s.start(d.host, edgeProgram, "--settings", d.settings)
+	if err != nil {
+		return err
+	}
+	d.process = p
+	return await(d.host, d.isReady)
+}
+
+// killAll kills all daemons at the same moment and starts them again.
+func (s *system) killAll() error {
+	for _, d := range s.daemons {
+		if err := d.cmd.Process.Kill(); err != nil {
+			return err
+		}
+	}
+	for _, d := range s.daemons {
+		<-d.exited
+	}
+	for _, d := range s.daemons {
+		p, err := s.start(d.host, edgeProgram, "--settings", d.settings)
+		if err != nil {
+			return err
+		}
+		d.process = p
+	}
+	return nil
+}
+
 // isReady asks a daemon whether it is ready.
 func (d *daemon) isReady() bool {
 	client := http.Client{Timeout: time.Second}
--- a/review/rig/upstream.go
+++ b/review/rig/upstream.go
@@ -34,6 +34,13 @@
 	queue   int
 	// work is the mean time of a request; times vary between a half and one and a half of it.
 	work time.Duration
+	// longShare is the share of the requests that take longWork. Their bodies are read when this work is done.
+	longShare float64
+	longWork  time.Duration
+	// cold is the time after its start for which the upstream takes twice as long.
+	cold time.Duration
+	// quietOrders leaves grants and releases out of the record.
+	quietOrders bool
 }
 
 // A grant is a range of keys that an upstream holds from since until until.
@@ -68,6 +75,7 @@
 	seen    []grant // the grant with the highest fencing token for each key
 	history []grant // grants that have ended
 	runs    map[string]int
+	worked  map[string]workTime // by request
 	answers int
 	copies  int
 	// copyShare is the share of the answers of which the upstream sends a second copy late.
@@ -95,7 +103,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	u := &upstream{
 		upstreamOptions: o, record: r, listener: ln, store: platform.NewClient(store), born: time.Now(), cancel: cancel,
-		freed: make(chan struct{}), running: map[int]work{}, runs: map[string]int{}, conns: map[net.Conn]bool{},
+		freed: make(chan struct{}), running: map[int]work{}, runs: map[string]int{}, worked: map[string]workTime{}, conns: map[net.Conn]bool{},
 	}
 	go u.accept()
 	go u.register(ctx)
@@ -122,6 +130,7 @@
 	for sequence := 1; ctx.Err() == nil; sequence++ {
 		entry, err := platform.EncodeTarget(platform.Target{
 			Name: u.name, StartedAt: u.born, Service: u.service, Address: u.address(), DataCentre: "leicester", Slots: u.slots,
+			WarmupLeft: u.coldLeft(),
 		}, sequence)
 		if err == nil {
 			_, _ = u.store.Put(ctx, platform.KindTargets, u.name, entry, platform.Unconditional()) // the next heartbeat repeats it
@@ -133,6 +142,9 @@
 	}
 }
 
+// coldLeft returns how much longer the upstream is slow after its start.
+func (u *upstream) coldLeft() time.Duration { return max(0, u.cold-time.Since(u.born)) }
+
 func (u *upstream) accept() {
 	for {
 		c, err := u.listener.Accept()
@@ -162,6 +174,12 @@
 		if err != nil {
 			return
 		}
+		if u.isLong(r) {
+			if !u.serveLong(c, r) {
+				return
+			}
+			continue
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -256,7 +274,9 @@
 	if u.granted != nil && status == http.StatusOK {
 		u.granted(u, g)
 	}
-	u.record.addf("grant: %s answers %d to keys %d-%d fence %d hold %s", u.name, status, o.Keys.First, o.Keys.Last, o.FencingToken, o.TTL)
+	if !u.quietOrders {
+		u.record.addf("grant: %s answers %d to keys %d-%d fence %d hold %s", u.name, status, o.Keys.First, o.Keys.Last, o.FencingToken, o.TTL)
+	}
 	return u.newAnswer(status, r, platform.ResponseMeta{})
 }
 
@@ -304,7 +324,9 @@
 func (u *upstream) release(keys platform.KeyRange) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.record.addf("release: %s gives up keys %d-%d", u.name, keys.First, keys.Last)
+	if !u.quietOrders {
+		u.record.addf("release: %s gives up keys %d-%d", u.name, keys.First, keys.Last)
+	}
 	u.endGrants(time.Now(), keys)
 	for u.works(keys) {
 		freed := u.freed
@@ -379,7 +401,11 @@
 	if status != http.StatusOK {
 		return u.notRun(status, r)
 	}
-	time.Sleep(time.Duration(float64(u.work) * (0.5 + rand.Float64())))
+	took := time.Duration(float64(u.work) * (0.5 + rand.Float64()))
+	if u.coldLeft() > 0 {
+		took *= 2
+	}
+	time.Sleep(took)
 	u.end(run, meta.ID)
 	a := u.newAnswer(http.StatusOK, r, platform.ResponseMeta{Signed: true})
 	a.body = fmt.Sprintf("%s read %d bytes of %s\n", u.name, len(body), meta.ID)
@@ -416,6 +442,7 @@
 	u.lastRun++
 	u.running[u.lastRun] = work{id: meta.ID, key: meta.Key, heldUntil: u.heldUntil(meta.Key)}
 	u.runs[meta.ID]++
+	u.worked[meta.ID] = workTime{began: time.Now()}
 	u.record.addf("run: %s begins %s, run %d of it here", u.name, meta.ID, u.runs[meta.ID])
 	return u.lastRun, http.StatusOK
 }
@@ -425,6 +452,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	delete(u.running, run)
+	u.worked[id] = workTime{began: u.worked[id].began, ended: time.Now()}
 	close(u.freed)
 	u.freed = make(chan struct{})
 	u.record.addf("ran: %s ends %s", u.name, id)
