--- a/review/rig/fragments.go
+++ b/review/rig/fragments.go
@@ -47,8 +47,8 @@
 
 func fragmentsService(i int) string { return fmt.Sprintf("stockroom-%d", i+1) }
 
-// runFragments plays reads of divided services whose busy keys change. At the end all daemons are killed at the same moment
-// and start again.
+// runFragments plays reads of divided services whose busy keys change. At the end a configuration is acknowledged, all daemons
+// are killed at the same moment, and they start again.
 func runFragments(s *system, trouble bool) (broken bool, err error) {
 	config := &platform.Configuration{
 		Version: 1,
@@ -103,6 +103,10 @@
 			b.calm.Store(true)
 		}
 	})
+	config.Version = 2
+	if err := s.configure(config); err != nil {
+		return false, err
+	}
 	end := time.Now()
 	if trouble {
 		if err := s.killAll(); err != nil {
