--- a/review/rig/unread.go
+++ b/review/rig/unread.go
@@ -126,9 +126,6 @@
 		}
 		d.stops = append(d.stops, workTime{stopped, time.Now()})
 		s.record.addf("stop: %s has ended", d.host)
-		if ctx.Err() != nil {
-			return nil
-		}
 		if err := s.restart(d); err != nil {
 			return err
 		}
