Do not send a request twice over one connection

Cause: an exchange recognises a response by its request ID, which a retry shares with the attempt before. A refusal leaves its connection sound, so the retry to the same owner took that connection, and a late second copy of the refusal was taken for the response to the retry.

A connection now remembers the last 32 IDs that it has carried and is not taken for any of them; it stays in the pool for other requests. As no connection carries an ID twice, the ID identifies the response again.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -31,9 +33,32 @@
 	limit   *limitedReader // bounds the bytes of a response's head
 	reader  *bufio.Reader
 	expires time.Time // when an idle connection must no longer be used
+	carried carriedIDs
 	closed  atomic.Bool
 }
 
+// carriedIDCount is the number of request IDs that a connection remembers. A stray response arrives where the next
+// response is expected, and ends the reuse of its connection.
+const carriedIDCount = 32
+
+// carriedIDs holds the hashes of the last IDs that a connection has carried.
+type carriedIDs struct {
+	hashes [carriedIDCount]uint64
+	count  int // IDs that were added
+}
+
+// idSeed is the seed of the hashes of request IDs.
+var idSeed = maphash.MakeSeed()
+
+func (c *carriedIDs) add(id string) {
+	c.hashes[c.count%carriedIDCount] = maphash.String(idSeed, id)
+	c.count++
+}
+
+func (c *carriedIDs) has(id string) bool {
+	return slices.Contains(c.hashes[:min(c.count, carriedIDCount)], maphash.String(idSeed, id))
+}
+
 // dial opens a connection with open. Its errors are ErrNoListener, ErrClosedAtOnce, ErrNotSent and ErrUnreachable.
 func dial(ctx context.Context, open platform.DialFunc, address netip.AddrPort) (*conn, error) {
 	tcp, err := open(ctx, address, dialTimeout)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -3,8 +3,10 @@
 // An exchange sends its request once and never returns the response to another
 // request. A response must carry the ID of its request; only a response other
 // than 2xx on a new connection may lack it. A connection is reused only after a
-// complete request and a complete response with no bytes left over. MayHaveRun
-// reports for each error whether the target may have run the request.
+// complete request and a complete response with no bytes left over, and only for
+// IDs that it has not carried: a target may send the response to an earlier request
+// again, which the ID of a retry would not tell from the response to the retry.
+// MayHaveRun reports for each error whether the target may have run the request.
 //
 // # Usage
 //
@@ -227,10 +229,11 @@
 // Do sends r and reads the response. The deadline and the cancellation of ctx
 // apply until the response is closed.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	conn, reused, err := c.pool.Take(ctx)
+	conn, reused, err := c.pool.TakeIf(ctx, func(idle *conn) bool { return !idle.carried.has(r.ID) })
 	if err != nil {
 		return nil, err
 	}
+	conn.carried.add(r.ID)
 	x := &exchange{client: c, conn: conn, request: r, reused: reused}
 	if d, ok := ctx.Deadline(); ok {
 		x.deadline = d
--- a/internal/idle/pool.go
+++ b/internal/idle/pool.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -51,8 +52,13 @@
 // Take returns a usable idle resource, or opens a new one. The second result
 // reports whether the resource was reused.
 func (p *Pool[T]) Take(ctx context.Context) (T, bool, error) {
+	return p.TakeIf(ctx, func(T) bool { return true })
+}
+
+// TakeIf is like Take, but leaves idle resources in the pool that do not suit the caller.
+func (p *Pool[T]) TakeIf(ctx context.Context, suits func(T) bool) (T, bool, error) {
 	for {
-		e, ok := p.pop()
+		e, ok := p.pop(suits)
 		if !ok {
 			v, err := p.options.Open(ctx)
 			return v, false, err
@@ -105,14 +111,15 @@
 	p.CloseIdle()
 }
 
-func (p *Pool[T]) pop() (item[T], bool) {
+// pop removes and returns the most recently returned resource that suits.
+func (p *Pool[T]) pop(suits func(T) bool) (item[T], bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return item[T]{}, false
+	for i, e := range slices.Backward(p.idle) {
+		if suits(e.value) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return e, true
+		}
 	}
-	e := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return e, true
+	return item[T]{}, false
 }
