Identify the answers to grants and releases

Cause: orders had no ID, so a late second copy of the answer to a release was taken for the answer to the next release on the same connection, whose keys counted as free at once.

Evidence: in three of three that were looked up, the release counted as answered within 2 ms while the work on its key went on, and the target had a second answer to an earlier release to send.

Every order now has an ID, and answers to other orders are skipped. Releases are read as grants are, in place of net/http, which cannot skip an answer.

TestLateCopyIsNotTakenForTheResponseToARelease and ...ToAGrant failed before.

--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -391,7 +391,9 @@
 	{"co-grant-lease", "coordination/orders.go", `	if !l.leaseOutlastsOrder() {
 		return eris.Wrapf(`, `	if false {
 		return eris.Wrapf(`, "./coordination -run TestWaitingGrants"},
-	{"pl-grant-quiet", "platform/grantconn.go", " && s.conn.reader.Buffered() == 0 && Quiet(s.conn.TCPConn)", "", "./platform"},
+	{"pl-order-quiet", "platform/orderconn.go", "return c.reader.Buffered() == 0 && Quiet(c.TCPConn)", "return true", "./platform"},
+	{"pl-order-id", "platform/orderconn.go", `return id == req.Header.Get(headerRequestID)`, "return true", "./platform"},
+	{"pl-release-reuse", "platform/targetclient.go", "if reusable && resp.identified {", "if reusable {", "./platform"},
 	{"co-resign-store", "coordination/document.go", "!l.hasEnded() && !m.storeAnswers(ctx)", "!l.hasEnded() && false", "./coordination"},
 	{"co-handover", "coordination/leader.go", "if l.shouldHandOver(t) {", "if false {", "./coordination"},
 	{"fe-unconfirmed", "feed/feed.go", "if from >= k.version || k.unconfirmed {", "if from >= k.version {", "./feed"},
