Count only targets of configured services as proof of an end

Cause: a later start at an owner's address proves that the owner has ended, and the coordinator looked that up among the entries of all services.

Evidence: "Process of a target has ended", target stock-1, reason "other name", 50 ms after the entry, and nothing else disturbed.

The coordinator now gets the targets of the services in the configuration only, so that such an entry proves nothing. A real reuse of an address by a service that is not configured is no proof any more either; the keys then wait until the order is answered with 421 or the hold is over.

New connections: the change does not reach them.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -104,7 +104,7 @@
 	Version TargetsVersion
 	// ByService maps each service divided by key to its targets.
 	ByService map[string][]platform.Target
-	// All holds the targets of all services.
+	// All holds the targets of all services of the configuration.
 	All []platform.Target
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -330,8 +330,8 @@
 	return "", false
 }
 
-// coordinationTargets returns the usable targets and those of the keyed services.
-// The result is empty until the configuration and the targets have been received.
+// coordinationTargets returns the usable targets of the configured services. Entries of other services describe no
+// target, whatever their name and address. The result is empty until the configuration and the targets have been received.
 func (e *Edge) coordinationTargets() coordination.Targets {
 	out := coordination.Targets{ByService: map[string][]platform.Target{}}
 	table := e.table.Load()
@@ -344,10 +344,11 @@
 	out.Version = coordination.TargetsVersion{
 		Directory: e.targets.Version(), UsableCount: e.usableTargets, Configuration: table.Configuration.Version,
 	}
-	out.All = e.targets.AllTargets(now)
 	for _, spec := range table.Configuration.Services {
+		targets := e.targets.ServiceTargets(now, spec.Name)
+		out.All = append(out.All, targets...)
 		if spec.Keyed {
-			out.ByService[spec.Name] = e.targets.ServiceTargets(now, spec.Name)
+			out.ByService[spec.Name] = targets
 		}
 	}
 	return out
--- a/ownership/liveness.go
+++ b/ownership/liveness.go
@@ -18,7 +18,7 @@
 }
 
 // UpdateLiveness updates the liveness of owners and former owners from the listed
-// targets of all services, and returns those whose process is newly found to have ended. This is
+// targets of all services of the configuration, and returns those whose process is newly found to have ended. This is
 // the case when a target that started later has its name or its address.
 func (c *Core) UpdateLiveness(now time.Time, targets []platform.Target) []EndedTarget {
 	byName, byAddress := map[string]platform.Target{}, map[netip.AddrPort]platform.Target{}
