Tell entries of a target from those of another service under its name

Found while looking for other readers of foreign entries: an entry of another service under the name of a target, with its start and the state of a leaving one, left the target draining for good after its own next heartbeat; one with a later start made requests whose connections had broken count as crashing their target.

An entry continues another one, and shows a restart, only if both are of the same service.

TestEntryOfAnotherServiceLeavesNoDraining and two cases of TestCrashBeforeARestartInPlace failed before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -99,11 +99,11 @@
 func (d *Directory) Set(now time.Time, t platform.Target) {
 	next := &entry{target: t}
 	e, known := d.entries[t.Name]
-	if known && e.target.StartedAt.Equal(t.StartedAt) {
+	if known && sameProcess(e.target, t) {
 		next.target.Draining = t.Draining || e.target.Draining
 		next.usableFrom = e.usableFrom
 	}
-	if gone, ok := d.departures[t.Name]; ok && gone.target.StartedAt.Equal(t.StartedAt) {
+	if gone, ok := d.departures[t.Name]; ok && sameProcess(gone.target, t) {
 		next.target.Draining = next.target.Draining || gone.target.Draining
 		if doubtful := d.platformRestoredAt.Add(restoredDoubt); gone.removedAt.Before(d.platformRestoredAt) && now.Before(doubtful) {
 			next.usableFrom = doubtful
@@ -116,10 +116,16 @@
 	d.version++
 }
 
-// StartedAt returns the start time in the entry of a target, or false if there is no entry.
-func (d *Directory) StartedAt(name string) (time.Time, bool) {
+// sameProcess reports whether two entries with the same name describe the same process. An entry of another service
+// may come from another writer.
+func sameProcess(a, b platform.Target) bool {
+	return a.StartedAt.Equal(b.StartedAt) && a.Service == b.Service
+}
+
+// StartedAt returns the start time in the entry of a service's target, or false if there is no entry.
+func (d *Directory) StartedAt(service, name string) (time.Time, bool) {
 	e, ok := d.entries[name]
-	if !ok {
+	if !ok || e.target.Service != service {
 		return time.Time{}, false
 	}
 	return e.target.StartedAt, true
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,6 +104,25 @@
 	c.Check(d.AllTargets(start)[1].StartedAt, qt.Equals, start.Add(time.Second))
 }
 
+// TestEntryOfAnotherServiceLeavesNoDraining checks that a target is not draining because an entry of another service
+// stood under its name.
+func TestEntryOfAnotherServiceLeavesNoDraining(t *testing.T) {
+	c := qt.New(t)
+	d := newFilledDirectory(1)
+	own := platform.Target{Name: "t0", Service: "stock", StartedAt: start}
+	foreign := platform.Target{Name: "t0", Service: "other", StartedAt: start, Draining: true}
+	d.Set(start, foreign)
+	c.Check(d.ServiceTargets(start, "stock"), qt.HasLen, 0)
+	_, ok := d.StartedAt("stock", "t0")
+	c.Check(ok, qt.IsFalse)
+	d.Set(start, own)
+	c.Check(slices.Equal(d.ServiceTargets(start, "stock"), []platform.Target{own}), qt.IsTrue)
+	d.Set(start, foreign)
+	d.Remove(start, "t0")
+	d.Set(start, own)
+	c.Check(slices.Equal(d.ServiceTargets(start, "stock"), []platform.Target{own}), qt.IsTrue)
+}
+
 // TestSmallOrDrainedRemovalsAreNotRetained checks that entries are retained only if
 // many targets are removed together without having drained.
 func TestSmallOrDrainedRemovalsAreNotRetained(t *testing.T) {
--- a/edge/crash.go
+++ b/edge/crash.go
@@ -33,7 +33,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	if err := d.client.Preconnect(ctx); !eris.Is(err, exchange.ErrNoListener) {
-		e.awaitRestart(brokenRequest{crash, q.meta.ID, d.dispatch.Target.Name, d.dispatch.Target.StartedAt, time.Now()})
+		e.awaitRestart(brokenRequest{
+			crash: crash, id: q.meta.ID, target: d.dispatch.Target.Name, service: d.dispatch.Target.Service,
+			startedAt: d.dispatch.Target.StartedAt, brokenAt: time.Now(),
+		})
 		return
 	}
 	if e.reachesOther(ctx, d.client) {
@@ -52,7 +55,7 @@
 // awaitRestart records the crash of a request whose connection broke once the entry of its target names a later start.
 func (e *Edge) awaitRestart(b brokenRequest) {
 	e.mu.Lock()
-	startedAt, ok := e.targets.StartedAt(b.target)
+	startedAt, ok := e.targets.StartedAt(b.service, b.target)
 	restarted := ok && startedAt.After(b.startedAt)
 	if !restarted {
 		e.restarts.add(b)
--- a/edge/crash_test.go
+++ b/edge/crash_test.go
@@ -85,6 +85,10 @@
 		out.Address, out.Draining = netip.MustParseAddrPort(ln.Addr().String()), draining
 		return out
 	}
+	entryOf := func(service string, t platform.Target) platform.Target {
+		t.Service = service
+		return t
+	}
 	tests := []struct {
 		name   string
 		before *platform.Target // entry that is received before the connection is found broken
@@ -98,6 +102,8 @@
 		{"later start, known before the break", new(target("a", start.Add(time.Second), false)), false, false, nil, true},
 		{"earlier start, of a copy of the store", nil, false, false, new(target("a", start.Add(-time.Second), false)), false},
 		{"same start, draining", nil, false, false, new(target("a", start, true)), false},
+		{"later start in an entry of another service", nil, false, false, new(entryOf("other", target("a", start.Add(time.Second), false))), false},
+		{"later start in an entry of another service, before the break", new(entryOf("other", target("a", start.Add(time.Second), false))), false, false, nil, false},
 		{"another target starts", nil, false, false, new(target("b", start.Add(time.Second), false)), false},
 		{"response in between", nil, true, false, new(target("a", start.Add(time.Second), false)), false},
 		{"host is cut off", nil, false, true, new(target("a", start.Add(time.Second), false)), false},
@@ -144,7 +150,7 @@
 	at := time.Unix(1_000_000, 0)
 	var r restarts
 	for i := range maxBrokenRequests + 10 {
-		r.add(brokenRequest{target: fmt.Sprint("t", i), startedAt: at, brokenAt: at})
+		r.add(brokenRequest{target: fmt.Sprint("t", i), service: "stock", startedAt: at, brokenAt: at})
 	}
 	c.Check(r.broken, qt.HasLen, maxBrokenRequests)
 	c.Check(r.take(at.Add(restartTime), targetOf("t1", at.Add(1))), qt.HasLen, 1)
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -35,11 +35,11 @@
 	return len(e.targets.AllTargets(time.Now()))
 }
 
-// TargetStartedAt returns the start time in the entry of a target.
-func (e *Edge) TargetStartedAt(name string) time.Time {
+// TargetStartedAt returns the start time in the entry of a service's target.
+func (e *Edge) TargetStartedAt(service, name string) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	startedAt, _ := e.targets.StartedAt(name)
+	startedAt, _ := e.targets.StartedAt(service, name)
 	return startedAt
 }
 
--- a/edge/restart_test.go
+++ b/edge/restart_test.go
@@ -91,7 +91,7 @@
 				time.Sleep(2 * restartDelay) // the entry is written after restartDelay
 				h.eventually("the entries are received", func() bool {
 					for _, s := range targets {
-						if h.edges[0].TargetStartedAt(s.name).UnixMilli() != s.startedAt.Load() {
+						if h.edges[0].TargetStartedAt("stock", s.name).UnixMilli() != s.startedAt.Load() {
 							return false
 						}
 					}
--- a/edge/restarts.go
+++ b/edge/restarts.go
@@ -20,6 +20,7 @@
 	crash     quarantine.Crash // if the target has crashed
 	id        string
 	target    string
+	service   string
 	startedAt time.Time // of the target, according to its entry
 	brokenAt  time.Time
 }
@@ -42,7 +43,7 @@
 func (r *restarts) take(now time.Time, t platform.Target) []brokenRequest {
 	var out []brokenRequest
 	r.remove(func(b brokenRequest) bool {
-		if b.target != t.Name || !t.StartedAt.After(b.startedAt) {
+		if b.target != t.Name || b.service != t.Service || !t.StartedAt.After(b.startedAt) {
 			return false
 		}
 		if now.Sub(b.brokenAt) <= restartTime {
