Soak: write foreign entries, and run two builds side by side

Each run now writes entries of a service that is not configured at the addresses of running targets, drawn from a source of its own so that the regression seeds keep their faults. With -soak.previous every daemon runs the given earlier build at every other start; foreign entries are left out then, as builds before today's take them for targets.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -8,4 +8,5 @@
 //	go test ./soak                                  # the regression seeds and a short run
 //	go test ./soak -run NewSeeds -soak.seeds 20     # 20 new seeds
 //	go test ./soak -run 'TestSeed$' -soak.seed 7 -soak.length 60s
+//	go test ./soak -run NewSeeds -soak.seeds 20 -soak.previous /tmp/previous/redwingtally-edge # beside an earlier build
 package soak
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -20,6 +21,7 @@
 	seedCount = flag.Int("soak.seeds", 0, "number of new seeds that TestNewSeeds runs")
 	seedFlag  = flag.Uint64("soak.seed", 1, "seed that TestSeed runs")
 	runLength = flag.Duration("soak.length", 12*time.Second, "duration of fault injection in each run")
+	previous  = flag.String("soak.previous", "", "absolute path of the daemon of an earlier build, which every daemon runs at every other start")
 )
 
 // regressions lists the seeds of past failures and their causes.
@@ -148,6 +150,9 @@
 		}
 	}
 	callers.Go(func() { s.watchHoldings(ctx) })
+	if *previous == "" { // builds of before 2026-12-05 take such entries for targets
+		callers.Go(func() { s.writeForeignEntries(ctx, rand.New(rand.NewPCG(seed, 5))) })
+	}
 	end := time.Now().Add(*runLength)
 	busy := map[*daemon]bool{} // a daemon has at most one fault at a time; faults of different daemons overlap
 	var mu sync.Mutex
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -44,6 +44,7 @@
 	cmd              *exec.Cmd
 	exited           chan struct{}
 	paused           bool
+	starts           int // plus the daemon's number, so that neighbours run different builds
 }
 
 // target is a stand-in target that is reached through a proxy.
@@ -146,6 +147,28 @@
 	s.targets = append(s.targets, &target{Server: srv, proxy: tg.proxy, service: tg.service})
 }
 
+// writeForeignEntries writes entries of a service that is not configured, at the addresses of running targets, and deletes each
+// after a while, until ctx ends. It draws from its own source, so that a seed keeps its faults.
+func (s *system) writeForeignEntries(ctx context.Context, random *rand.Rand) {
+	const name = "node-agent-1"
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		address := s.targets[random.IntN(len(s.targets))].proxy.address()
+		s.mu.Unlock()
+		entry, err := platform.EncodeTarget(platform.Target{Name: name, StartedAt: time.Now(), Service: "node-agent", Address: address, Slots: 1}, 1)
+		if err != nil {
+			s.results.addViolationf("foreign entry: %v", err)
+			return
+		}
+		_, _ = s.client.Put(ctx, platform.KindTargets, name, entry, platform.Unconditional()) // the next round repeats it
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(500+random.IntN(2500)) * time.Millisecond):
+		}
+		_ = s.client.Delete(ctx, platform.KindTargets, name, platform.Unconditional())
+	}
+}
+
 // configure writes a configuration with the next version. Its third route has the
 // version in its prefix, so that awaitRecovery can check that it is in force.
 func (s *system) configure() {
@@ -180,7 +203,7 @@
 	p, err := startProxy(s.platformAddress)
 	qt.Assert(s.t, err, qt.IsNil)
 	s.t.Cleanup(p.stop)
-	d := &daemon{name: name, entryAddress: ports.Free(s.t), readinessAddress: ports.Free(s.t), storeProxy: p, settingsFile: filepath.Join(s.dir, name+".yaml")}
+	d := &daemon{name: name, starts: len(s.daemons), entryAddress: ports.Free(s.t), readinessAddress: ports.Free(s.t), storeProxy: p, settingsFile: filepath.Join(s.dir, name+".yaml")}
 	text := fmt.Sprintf("host: %s\ndata_centre: leicester\nentry_address: %s\nready_address: %s\ncontrol_address: %s\nmetrics_address: %s\nstore_address: %s\nshutdown: 6s\n",
 		name, d.entryAddress, d.readinessAddress, ports.Free(s.t), ports.Free(s.t), p.address())
 	qt.Assert(s.t, os.WriteFile(d.settingsFile, []byte(text), 0o600), qt.IsNil)
@@ -195,6 +218,9 @@
 	path := programs.Path(t, "redwingtally-edge")
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.starts++; *previous != "" && d.starts%2 == 0 {
+		path = *previous
+	}
 	d.cmd = exec.Command(path, "--settings", d.settingsFile)
 	d.cmd.Stdout, d.cmd.Stderr = d.logs, d.logs
 	qt.Assert(t, d.cmd.Start(), qt.IsNil)
