Let checks of relays share a connection

All checks of relays have one ID, which builds of before answer with, so that since "Do not send a request twice over one connection" each check needed a connection that had carried none lately. Found by reading; no test failed.

Connections to relays may carry an ID again: hosts send no second copies of responses. That is how relays were reached before. TestReuseIDs is new.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -95,6 +95,8 @@
 	Spawn func(func()) error
 	// OnDial is called before a request opens a connection. It may be nil.
 	OnDial func()
+	// ReuseIDs lets a connection carry an ID again. It is for peers that send no response twice.
+	ReuseIDs bool
 	// Dial opens a connection; nil means platform.Dial.
 	Dial platform.DialFunc
 	// Now returns the current time; nil means time.Now.
@@ -109,6 +111,7 @@
 
 	pool     *idle.Pool[*conn]
 	spawn    func(func()) error
+	reuseIDs bool
 	dialFunc platform.DialFunc
 	now      func() time.Time
 }
@@ -124,6 +127,7 @@
 	return &Client{
 		Address:  address,
 		spawn:    o.Spawn,
+		reuseIDs: o.ReuseIDs,
 		dialFunc: o.Dial,
 		now:      o.Now,
 		pool: idle.New(idle.Options[*conn]{
@@ -229,7 +233,7 @@
 // Do sends r and reads the response. The deadline and the cancellation of ctx
 // apply until the response is closed.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	conn, reused, err := c.pool.TakeIf(ctx, func(idle *conn) bool { return !idle.carried.has(r.ID) })
+	conn, reused, err := c.pool.TakeIf(ctx, func(idle *conn) bool { return c.reuseIDs || !idle.carried.has(r.ID) })
 	if err != nil {
 		return nil, err
 	}
--- a/exchange/late_test.go
+++ b/exchange/late_test.go
@@ -83,6 +83,19 @@
 	}
 }
 
+// Peers that send no response twice get requests with one ID over one connection.
+func TestReuseIDs(t *testing.T) {
+	c := qt.New(t)
+	client, dials := startTarget(t, okResponse, okResponse)
+	client.reuseIDs = true
+	for range 2 {
+		resp, err := client.Do(context.Background(), newRequest("check", ""))
+		c.Assert(err, qt.IsNil)
+		resp.Close()
+	}
+	c.Check(*dials, qt.Equals, 1)
+}
+
 func TestCarriedIDs(t *testing.T) {
 	c := qt.New(t)
 	var ids carriedIDs
