Log callers' connections that end with a request that no handler got

What was missing: a request that net/http reads and drops during a shutdown, or that is on a connection closed as idle, leaves no trace, and a panic in a handler is logged at debug level only. The entry now counts and logs them, logs the connections by state when it stops accepting, and says in the line of a request whether the host is stopping.

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/redwingtally/redwingtally/metric"
 )
 
 const (
@@ -29,6 +31,8 @@
 type entryServer struct {
 	server   *http.Server
 	listener net.Listener
+	log      *slog.Logger
+	metrics  *metric.Set
 	mu       sync.Mutex
 	conns    map[net.Conn]*callerConn
 }
@@ -37,6 +41,8 @@
 type callerConn struct {
 	idleSince    time.Time // start of the idle period; zero while a request is in progress
 	closedByHost bool      // the host closed the connection while it was idle
+	readAt       time.Time // when the header of the last request was read
+	handled      bool      // a handler was called for that request
 }
 
 // connContextKey is the context key of the callerConn of a request.
@@ -48,14 +54,14 @@
 	if err != nil {
 		return err
 	}
-	en := &entryServer{listener: ln, conns: map[net.Conn]*callerConn{}}
+	en := &entryServer{listener: ln, log: e.log, metrics: e.metrics, conns: map[net.Conn]*callerConn{}}
 	en.server = &http.Server{
 		Handler:           e,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         en.trackState,
 		ConnContext:       en.attachConn,
-		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelWarn), // a panic closes the caller's connection
 	}
 	e.entryServer = en
 	go func() {
@@ -89,11 +95,23 @@
 		info.idleSince = time.Now()
 	case s == http.StateActive:
 		info.idleSince = time.Time{}
+		info.readAt, info.handled = time.Now(), false
 	case s == http.StateClosed || s == http.StateHijacked:
 		delete(en.conns, c)
+		en.logUnhandled(c, info)
 	}
 }
 
+// logUnhandled counts and logs a connection that ends after a request was read from it and before a handler was called.
+func (en *entryServer) logUnhandled(c net.Conn, info *callerConn) {
+	if info.readAt.IsZero() || info.handled {
+		return
+	}
+	en.metrics.UnhandledRequests.WithLabelValues().Inc()
+	en.log.Warn("entry: Connection ended with a request that was not handled.", "caller", c.RemoteAddr().String(),
+		"read_ms_ago", time.Since(info.readAt).Milliseconds(), "closed_by_host", info.closedByHost)
+}
+
 // connClosed reports whether the host has closed the connection of a request.
 // Such a request must not run, because its caller receives no response.
 func (en *entryServer) connClosed(r *http.Request) bool {
@@ -103,6 +121,7 @@
 	}
 	en.mu.Lock()
 	defer en.mu.Unlock()
+	info.handled = !info.closedByHost
 	return info.closedByHost
 }
 
@@ -132,11 +151,30 @@
 	}
 }
 
+// logConnections logs how many connections are in which state.
+func (en *entryServer) logConnections(message string) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	unused, idle, active := 0, 0, 0
+	for _, info := range en.conns {
+		switch {
+		case info.readAt.IsZero():
+			unused++
+		case !info.idleSince.IsZero():
+			idle++
+		default:
+			active++
+		}
+	}
+	en.log.Info(message, "unused", unused, "idle", idle, "active", active)
+}
+
 // drain accepts connections for acceptAfterShutdown and closes each after its
 // next response. It then stops accepting, and returns when no request is in
 // progress or ctx ends. An expired deadline is logged and not returned as an error.
 func (en *entryServer) drain(ctx context.Context, e *Edge) error {
 	sleep(ctx, acceptAfterShutdown)
+	en.logConnections("entry: No longer accepting connections.")
 	en.closeIdle(0)
 	err := en.server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/edge/requestlog.go
+++ b/edge/requestlog.go
@@ -44,7 +44,7 @@
 	q.edge.log.Info("entry: Request ended.", "request", q.meta.ID, "outcome", q.outcome, "route", route, "service", service,
 		"targets", tried, "waited_ms", q.queueTime.Milliseconds(), "took_ms", time.Since(q.started).Milliseconds(),
 		"allowed_ms", q.deadline.Sub(q.started).Milliseconds(), "configuration", version,
-		"view", view.Version.Number, "relays", q.triedRelays, "relayed", q.relayed != nil, "error", errorText(q.err))
+		"view", view.Version.Number, "relays", q.triedRelays, "relayed", q.relayed != nil, "stopping", q.edge.draining.Load(), "error", errorText(q.err))
 }
 
 // errorText returns the message of err, or an empty string for nil.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -55,6 +55,8 @@
 	RelayedRequests *prometheus.CounterVec
 	// CutOff is 1 while the host has lost all targets, and 0 otherwise.
 	CutOff *prometheus.GaugeVec
+	// UnhandledRequests counts callers' connections that ended after a request was read and before it was handled.
+	UnhandledRequests *prometheus.CounterVec
 	// Probes counts the connections opened to find out whether the host has lost all targets, by result.
 	Probes *prometheus.CounterVec
 
@@ -84,12 +86,13 @@
 		LimitedAttempts:   counter("limited_attempts_total", "Requests sent to targets that state a rate limit.", "service"),
 		RelayedRequests:   counter("relayed_requests_total", "Requests passed on between hosts, by side and result.", "side", "result"),
 		CutOff:            gauge("cut_off", "Whether the host has lost all targets."),
+		UnhandledRequests: counter("unhandled_requests_total", "Requests that were read and not handled."),
 		Probes:            counter("probes_total", "Connection attempts that look for a path to targets.", "result"),
 	}
 	s.registry.MustRegister(
 		s.Requests, s.QueueSeconds, s.ServiceSeconds, s.Retries, s.QueuedRequests, s.ShardImbalance, s.OwnershipChanges,
 		s.UnownedShards, s.UnownedSeconds, s.StoreCalls, s.ControlBytes, s.ControlHeartbeats, s.TargetConnections, s.Quarantined, s.SilentConnections,
-		s.LimitedAttempts, s.RelayedRequests, s.CutOff, s.Probes,
+		s.LimitedAttempts, s.RelayedRequests, s.CutOff, s.Probes, s.UnhandledRequests,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return s
