Show that a host drops requests that it has begun to read

Callers get no answer to a request that arrives while the host closes idle connections or begins http.Server.Shutdown.

--- /dev/null
+++ b/edge/shutdown_test.go
@@ -0,0 +1,136 @@
+package edge_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/redwingtally/redwingtally/internal/standin"
+	"github.com/redwingtally/redwingtally/platform"
+)
+
+// A callerConn is a caller's connection whose requests are written piece by piece.
+type callerConn struct {
+	net.Conn
+	c      *qt.C
+	reader *bufio.Reader
+}
+
+// connect opens a connection to a host.
+func (h *harness) connect(c *qt.C, host int) *callerConn {
+	conn, err := net.Dial("tcp4", h.settings[host].EntryAddress.String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	return &callerConn{conn, c, bufio.NewReader(conn)}
+}
+
+// write writes the bytes of a request from first to last. Negative numbers count from the end, as does a last of 0.
+func (conn *callerConn) write(id string, first, last int) {
+	req, err := http.NewRequest(http.MethodGet, "http://quotes.example/holders/1", http.NoBody)
+	conn.c.Assert(err, qt.IsNil)
+	platform.SetRequestMeta(req.Header, platform.RequestMeta{ID: id, Timeout: callerTimeout})
+	var b bytes.Buffer
+	conn.c.Assert(req.Write(&b), qt.IsNil)
+	if first < 0 {
+		first += b.Len()
+	}
+	if last <= 0 {
+		last += b.Len()
+	}
+	_, err = conn.Write(b.Bytes()[first:last])
+	conn.c.Check(err, qt.IsNil, qt.Commentf(id))
+}
+
+// read reads a response and returns its status and whether the host closes the connection, or 0 if there is none.
+func (conn *callerConn) read(id string) (status int, closed bool) {
+	conn.c.Assert(conn.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	resp, err := http.ReadResponse(conn.reader, nil)
+	if err != nil {
+		conn.c.Logf("%s: %v", id, err)
+		return 0, true
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode, resp.Close
+}
+
+// A host that stops answers requests of which it has read a part when it stops accepting connections.
+func TestStoppingHostDropsNoRequestThatItReads(t *testing.T) {
+	tests := []struct {
+		name string
+		kept bool // the connection has carried a request before
+		part int  // bytes of the request that arrive before
+	}{
+		{"new connection", false, 40},
+		{"new connection, all but the last byte", false, -1},
+		{"kept connection", true, 40},
+		{"kept connection, all but the last byte", true, -1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			h := newHarness(t, 1)
+			h.server(standin.ServerOptions{Name: "a", Service: "stock"})
+			h.configure([]platform.Route{route("stock", "/holders/", platform.Idempotent)}, plain("stock"))
+			h.waitServing(0, "/holders/1")
+			conn := h.connect(c, 0)
+			if test.kept {
+				conn.write("before", 0, 0)
+				status, closed := conn.read("before")
+				c.Assert(status, qt.Equals, http.StatusOK)
+				c.Assert(closed, qt.IsFalse)
+			}
+			began := time.Now()
+			stopped := make(chan error, 1)
+			go func() { stopped <- h.edges[0].Shutdown(context.Background()) }()
+			time.Sleep(2200 * time.Millisecond) // new connections are accepted until 2.5 s
+			conn.write("split", 0, test.part)
+			h.eventually("connections are refused", func() bool {
+				other, err := net.Dial("tcp4", h.settings[0].EntryAddress.String())
+				if err == nil {
+					_ = other.Close()
+				}
+				return err != nil
+			})
+			time.Sleep(50 * time.Millisecond) // the host closes idle connections at the same time
+			conn.write("split", test.part, 0)
+			status, closed := conn.read("split")
+			c.Check(status, qt.Equals, http.StatusOK)
+			c.Check(closed, qt.IsTrue)
+			c.Check(<-stopped, qt.IsNil)
+			c.Check(time.Since(began) < 6*time.Second, qt.IsTrue)
+		})
+	}
+}
+
+// An idle connection that is closed by the host gets no request that the host has read.
+func TestIdleConnectionsAreClosedUnlessARequestArrives(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(t, 1)
+	h.server(standin.ServerOptions{Name: "a", Service: "stock"})
+	h.configure([]platform.Route{route("stock", "/holders/", platform.Idempotent)}, plain("stock"))
+	h.waitServing(0, "/holders/1")
+	idle, used := h.connect(c, 0), h.connect(c, 0)
+	for _, conn := range []*callerConn{idle, used} {
+		conn.write("first", 0, 0)
+		status, _ := conn.read("first")
+		c.Assert(status, qt.Equals, http.StatusOK)
+	}
+	used.write("second", 0, 40)
+	time.Sleep(50 * time.Millisecond) // the host reads the first bytes
+	for range 3 {
+		h.edges[0].CloseIdle()
+		time.Sleep(20 * time.Millisecond)
+	}
+	status, _ := idle.read("idle")
+	c.Check(status, qt.Equals, 0)
+	used.write("second", 40, 0)
+	status, _ = used.read("second")
+	c.Check(status, qt.Equals, http.StatusOK)
+}
