Answer every request that was read when connections end

Callers got no answer to requests that a host had read, or had begun to read, when it stopped or closed idle connections. Two causes of one class, a connection judged idle by the state of the parser: http.Server.Shutdown makes the loop of a connection drop a request that is read after its start, and calls no handler; and closing an idle connection hit requests that were read or half read, as net/http reports it as idle until the whole header is parsed. By the lock that it held, one close could delay all others.

The servers for callers and for relayed requests track received bytes themselves. They end an idle connection by a read deadline in the past, which cannot hit bytes that were read, and not while bytes wait in the socket. A stopping host closes its listener and waits for its connections instead of calling Shutdown. The response to a request from before the stop now closes its connection too.

--- /dev/null
+++ b/edge/connserver.go
@@ -0,0 +1,229 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/redwingtally/redwingtally/metric"
+	"github.com/redwingtally/redwingtally/platform"
+)
+
+const (
+	// drainInterval is the time between two checks of the connections of a server that no longer accepts any.
+	drainInterval = 50 * time.Millisecond
+	// firstRequestWait is how long a new connection may send nothing before such a server closes it.
+	firstRequestWait = time.Second
+)
+
+// expired is a read deadline that has passed.
+var expired = time.Unix(1, 0)
+
+// A connServer is an HTTP server that answers every request it has read, also while it closes idle connections or
+// stops. http.Server.Shutdown does neither: it takes a connection as idle until a whole header is read, and drops
+// requests that are read after its start.
+//
+// It ends the connections by a read deadline in the past. Unlike a close, that cannot hit a request that has
+// been read already.
+type connServer struct {
+	server   *http.Server
+	listener net.Listener
+	log      *slog.Logger
+	metrics  *metric.Set
+	part     string // prefix of log lines
+	mu       sync.Mutex
+	conns    map[*trackedConn]struct{}
+}
+
+// newConnServer returns a server that serves connections of ln with server's settings.
+func newConnServer(part string, ln net.Listener, server *http.Server, log *slog.Logger, metrics *metric.Set) *connServer {
+	s := &connServer{server: server, listener: ln, log: log, metrics: metrics, part: part, conns: map[*trackedConn]struct{}{}}
+	server.ConnState = s.trackState
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connContextKey{}, c)
+	}
+	server.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelWarn) // a panic closes the caller's connection
+	return s
+}
+
+// serve accepts connections until drain.
+func (s *connServer) serve() {
+	if err := s.server.Serve(trackingListener{s.listener, s}); err != nil && !errors.Is(err, net.ErrClosed) {
+		s.log.Error(s.part+": Server failed.", "error", err.Error())
+	}
+}
+
+// A trackedConn is a connection of a connServer.
+type trackedConn struct {
+	*net.TCPConn
+	server   *connServer
+	accepted time.Time
+
+	mu        sync.Mutex
+	used      bool      // a request was read
+	idleSince time.Time // start of the idle period; zero before the first request and while one is in progress
+	receiving bool      // bytes were read since then
+	ending    bool      // the read deadline is expired
+	readAt    time.Time // when the header of the last request was read
+	handled   bool      // a handler was called for that request
+}
+
+// connContextKey is the context key of the trackedConn of a request.
+type connContextKey struct{}
+
+// trackingListener tracks the connections that it accepts.
+type trackingListener struct {
+	net.Listener
+	server *connServer
+}
+
+func (l trackingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &trackedConn{TCPConn: conn.(*net.TCPConn), server: l.server, accepted: time.Now()}
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	l.server.conns[c] = struct{}{}
+	return c, nil
+}
+
+// Read keeps a connection from being ended once it has received bytes of a request.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.received()
+	}
+	return n, err
+}
+
+// received records that bytes were read. If the connection was ended at the same time, it goes on.
+func (c *trackedConn) received() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = true
+	if c.ending {
+		c.ending = false
+		_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection; the next read reports it
+	}
+}
+
+// trackState records since when a connection is idle. The server reports the
+// active state before it handles the next request of the connection.
+func (s *connServer) trackState(conn net.Conn, state http.ConnState) {
+	c := conn.(*trackedConn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateIdle:
+		c.idleSince, c.receiving = time.Now(), false
+	case http.StateActive:
+		c.idleSince, c.used = time.Time{}, true
+		c.readAt, c.handled = time.Now(), false
+	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		if c.used && !c.handled {
+			s.metrics.UnhandledRequests.WithLabelValues().Inc()
+			s.log.Warn(s.part+": Connection ended with a request that was not handled.", "caller", c.RemoteAddr().String(),
+				"read_ms_ago", time.Since(c.readAt).Milliseconds(), "ending", c.ending)
+		}
+	}
+}
+
+// handling records that a handler was called for the request of a connection.
+func handling(r *http.Request) {
+	if c, ok := r.Context().Value(connContextKey{}).(*trackedConn); ok {
+		c.setHandled()
+	}
+}
+
+func (c *trackedConn) setHandled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handled = true
+}
+
+// endIdle ends the connections that have been idle for at least after and received nothing since.
+func (s *connServer) endIdle(after time.Duration) {
+	now := time.Now()
+	for _, c := range s.open() {
+		c.mu.Lock()
+		if !c.idleSince.IsZero() && now.Sub(c.idleSince) >= after {
+			c.end()
+		}
+		c.mu.Unlock()
+	}
+}
+
+// endUnused ends the connections that have been open for at least after without a byte of a request.
+func (s *connServer) endUnused(after time.Duration) {
+	now := time.Now()
+	for _, c := range s.open() {
+		c.mu.Lock()
+		if !c.used && now.Sub(c.accepted) >= after {
+			c.end()
+		}
+		c.mu.Unlock()
+	}
+}
+
+// end makes the server close the connection unless it has received bytes of a request. The server may reset the
+// deadline at the begin of an idle period, so that end has to be repeated until the connection is closed. The caller
+// holds c.mu.
+func (c *trackedConn) end() {
+	if !c.receiving && !platform.HasUnread(c.TCPConn) {
+		c.ending = true
+		_ = c.SetReadDeadline(expired) // fails only on a closed connection
+	}
+}
+
+// open returns the connections that are open.
+func (s *connServer) open() []*trackedConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*trackedConn, 0, len(s.conns))
+	for c := range s.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// drain stops accepting connections and returns when all are closed or ctx ends. Idle ones are ended; the others have to
+// be closed by their responses.
+func (s *connServer) drain(ctx context.Context) error {
+	unused, idle, active := s.count()
+	s.log.Info(s.part+": No longer accepting connections.", "unused", unused, "idle", idle, "active", active)
+	if err := s.listener.Close(); err != nil {
+		s.log.Warn(s.part+": Closing the listener failed.", "error", err.Error())
+	}
+	for len(s.open()) > 0 && ctx.Err() == nil {
+		s.endIdle(0)
+		s.endUnused(firstRequestWait)
+		sleep(ctx, drainInterval)
+	}
+	return ctx.Err()
+}
+
+// count returns the numbers of connections without a request so far, of idle ones and of the others.
+func (s *connServer) count() (unused, idle, active int) {
+	for _, c := range s.open() {
+		c.mu.Lock()
+		switch {
+		case !c.used:
+			unused++
+		case !c.idleSince.IsZero():
+			idle++
+		default:
+			active++
+		}
+		c.mu.Unlock()
+	}
+	return unused, idle, active
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -77,7 +77,7 @@
 	table           atomic.Pointer[routing.Table]
 	draining        atomic.Bool
 	activeRequests  atomic.Int64 // callers' requests in progress
-	entryServer     *entryServer
+	entryServer     *connServer
 	feed            *feed.Feed
 	rateLimits      *ratelimit.Table
 	dialTarget      platform.DialFunc    // opens the connections to targets
@@ -373,7 +373,7 @@
 		defer close(relayed)
 		e.drainRelay(ctx)
 	}()
-	err := e.entryServer.drain(ctx, e)
+	err := e.drainEntry(ctx)
 	<-resigned
 	<-relayed
 	e.relays.close()
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -10,7 +10,7 @@
 )
 
 // CloseIdle closes all idle connections of callers.
-func (e *Edge) CloseIdle() { e.entryServer.closeIdle(0) }
+func (e *Edge) CloseIdle() { e.entryServer.endIdle(0) }
 
 // BackdateStart sets the start of the process back by an hour, so that its retry
 // budget is fully available.
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -68,13 +68,8 @@
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.activeRequests.Add(1)
 	defer e.activeRequests.Add(-1)
+	handling(r)
 	q := e.newRequest(w, r)
-	if e.entryServer.connClosed(r) {
-		panic(http.ErrAbortHandler)
-	}
-	if e.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	q.awaitInitialState()
 	q.handle()
 }
@@ -227,6 +222,7 @@
 // service itself, because ServeHTTP logs only admitted requests.
 func (q *request) reject(status int, reason string, retryAfter time.Duration) {
 	q.outcome = reason
+	q.closeIfStopping()
 	if q.relayed != nil {
 		q.setResult(q.w.Header(), q.rejectionKind(status, reason))
 	}
@@ -244,12 +240,21 @@
 	panic(http.ErrAbortHandler)
 }
 
+// closeIfStopping makes the host close the connection after the response if it is stopping, also if the
+// request arrived before.
+func (q *request) closeIfStopping() {
+	if q.edge.draining.Load() {
+		q.w.Header().Set("Connection", "close")
+	}
+}
+
 // writeResponse sends a target's response to the caller. It aborts the connection
 // if the response is truncated, so that the caller does not take it as complete.
 func (q *request) writeResponse(resp *exchange.Response) {
 	q.outcome = "answered_" + strconv.Itoa(resp.Status)
 	h := q.w.Header()
 	exchange.CopyEndToEndHeaders(h, resp.Header)
+	q.closeIfStopping()
 	if q.relayed != nil { // after the copy, so that a target neither removes nor forges the result
 		if resp.Signed {
 			platform.CopySignature(h, resp.Header) // the sender drops a success without it, also if Connection names it
--- a/edge/relayserver.go
+++ b/edge/relayserver.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"log/slog"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -31,7 +29,7 @@
 // relayServer serves the requests that other hosts pass on. Its listener is separate from
 // that of callers, so that no header of a caller can mark a request as relayed.
 type relayServer struct {
-	server     *http.Server
+	*connServer
 	inProgress atomic.Int64
 	bodyBytes  atomic.Int64 // reserved for the bodies of the requests in progress
 }
@@ -57,20 +55,13 @@
 	if err != nil {
 		return err
 	}
-	rs := &relayServer{}
-	rs.server = &http.Server{
+	e.relayServer = &relayServer{connServer: newConnServer("relay", ln, &http.Server{
 		Handler:           http.HandlerFunc(e.serveRelayed),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       relayIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes + relayHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
-	}
-	e.relayServer = rs
-	go func() {
-		if err := rs.server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			e.log.Error("relay: Server failed.", "error", err.Error())
-		}
-	}()
+	}, e.log, e.metrics)}
+	go e.relayServer.serve()
 	return nil
 }
 
@@ -82,7 +73,7 @@
 		return
 	}
 	sleep(ctx, acceptAfterShutdown)
-	if err := e.relayServer.server.Shutdown(ctx); err != nil {
+	if err := e.relayServer.drain(ctx); err != nil {
 		e.log.Warn("relay: Shutdown deadline passed with requests in progress.", "active", e.relayServer.inProgress.Load(), "error", err.Error())
 	}
 }
@@ -108,6 +99,7 @@
 
 // serveRelayed handles a request that another host passes on.
 func (e *Edge) serveRelayed(w http.ResponseWriter, r *http.Request) {
+	handling(r)
 	if relay.IsCheck(r.Header) {
 		answerCheck(w)
 		return
@@ -192,8 +184,5 @@
 		result.Runs = max(1, q.possibleRuns)
 	}
 	result.Set(h)
-	if q.edge.draining.Load() {
-		q.w.Header().Set("Connection", "close")
-	}
 	q.edge.metrics.RelayedRequests.WithLabelValues("served", string(kind)).Inc()
 }
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// An idle connection that is closed by the host gets no request that the host has read.
+// A host does not take a connection as idle that has received the first bytes of a request.
 func TestIdleConnectionsAreClosedUnlessARequestArrives(t *testing.T) {
 	c := qt.New(t)
 	h := newHarness(t, 1)
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -48,7 +48,6 @@
 	"ex-deadline":    "the end of the context also closes the connection",
 	"ed-drainlink":   "a precaution: the other idle connections of an unresponsive target are likely, but not certain, to be dead",
 	"ed-doubt":       "hosts also detect a new coordinator by their next reports, only later",
-	"ed-closeidle":   "the server closes idle connections on shutdown; requests that race with it are tested with CloseIdle",
 	"ed-minidle":     "no test configuration has a shorter limit",
 	"ed-relist":      "interrupted watches of the stand-in platform lose no changes",
 	"ed-resign":      "the successor waits for the lease, and no test of the package runs that long",
