Wait for targets that read a long body late

An upload ended with 502 while its target was at work, at any time and also when its host was stopping: TCP_USER_TIMEOUT of 1.5 s, meant for a peer that no longer acknowledges anything, also ends a connection whose peer has no room in its receive buffer. A request is bounded by its deadline already, so the timeout no longer applies while a long body is sent. It applies again once the connection is idle. Orders, small requests and the store keep it.

TestTargetMayReadALongBodyLate fails without the change.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -277,6 +277,7 @@
 	deadline time.Time // zero when there is none
 	reused   bool
 	noReuse  bool        // the connection must be closed after this request
+	longBody bool        // the connection has no UnackedTimeout
 	stop     func() bool // detaches the connection from the request's context; false if the context has ended
 
 	mu         sync.Mutex // guards the fields below while the request body is written
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -100,5 +100,9 @@
 		x.conn.close()
 		return
 	}
+	if x.longBody && platform.SetUnackedTimeout(x.conn.TCPConn, platform.UnackedTimeout) != nil {
+		x.conn.close()
+		return
+	}
 	x.client.pool.Put(x.conn)
 }
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/redwingtally/redwingtally/platform"
 )
 
 // send writes the request. A long or streamed body is written in the background.
@@ -25,6 +27,11 @@
 		x.noReuse = err != nil
 		return nil
 	}
+	// A target may read a long body late. The request's deadline bounds the wait.
+	if err := platform.SetUnackedTimeout(x.conn.TCPConn, 0); err != nil {
+		return eris.Wrapf(ErrNotSent, "%v", err)
+	}
+	x.longBody = true
 	if n, err := x.conn.Write(head); err != nil && n == 0 {
 		return eris.Wrapf(ErrNotSent, "%v", err)
 	}
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -29,6 +29,7 @@
 	{"ex-length", "exchange/send.go", "err == nil && n != r.Length-int64(len(r.Body))", "err == nil && n < 0", "./exchange"},
 	{"ex-body-close", "exchange/send.go", "if eris.Is(err, ErrRequestBody) {", "if false {", "./exchange"},
 	{"ex-head-sent", "exchange/send.go", `return eris.Wrapf(ErrConnectionFailed, "head sent`, `return eris.Wrapf(ErrNotSent, "head sent`, "./exchange"},
+	{"ex-slow-reader", "exchange/send.go", "platform.SetUnackedTimeout(x.conn.TCPConn, 0)", "error(nil)", "./exchange -run ^TestTargetMay"},
 	{"ex-late", "exchange/send.go", "if x.deadlinePassed() {", "if false {", "./exchange"},
 	{"ex-unsent", "exchange/send.go", "if err != nil && n == 0 {", "if err != nil && n >= 0 {", "./exchange"},
 	{"ex-unsent2", "exchange/send.go", "if n, err := x.conn.Write(head); err != nil && n == 0 {", "if _, err := x.conn.Write(head); err != nil {", "./exchange"},
