Reject what a stopping host cannot finish

The process ends 0.9 s before SIGKILL. Requests that no target had got by then were cut without an answer, although they had not run and their callers could have sent them to another host. They get 503 before the end now. A request that arrives after the last connection was accepted, and may outlive the process, is rejected at once. TestStoppingHostRejectsWaitingRequests and TestStoppingHostRejectsLateRequestsThatMayOutliveIt show both.

--- a/edge/control.go
+++ b/edge/control.go
@@ -50,7 +50,7 @@
 func (e *Edge) notReadyReason() string {
 	switch {
 	case e.draining.Load():
-		return "stopping"
+		return reasonStopping
 	case e.table.Load() == nil:
 		return "no configuration"
 	case !e.feed.Loaded(platform.KindTargets):
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -76,6 +76,7 @@
 	member          *coordination.Member
 	table           atomic.Pointer[routing.Table]
 	draining        atomic.Bool
+	stop            stopSchedule // valid while draining
 	activeRequests  atomic.Int64 // callers' requests in progress
 	entryServer     *connServer
 	feed            *feed.Feed
@@ -125,6 +126,7 @@
 		path:          newPathToTargets(),
 		ownPermits:    ratelimit.NewAllocator(),
 		initialised:   make(chan struct{}),
+		stop:          stopSchedule{ending: make(chan struct{})},
 	}
 	e.relays = newRelayPool(e)
 	e.store.Store(e.newStoreClient(s.StoreAddress))
@@ -358,6 +360,7 @@
 // ended or ctx ends. Meanwhile the host hands the coordination over if it coordinates.
 func (e *Edge) Shutdown(ctx context.Context) error {
 	started := time.Now()
+	defer e.stop.begin(ctx, started).Stop()
 	e.draining.Store(true)
 	e.log.Info("edge: Stopping.", "active", e.activeRequests.Load())
 	if e.relaying() {
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -136,6 +136,10 @@
 		limit = q.meta.Timeout
 	}
 	q.deadline = q.started.Add(limit)
+	if q.edge.draining.Load() && q.edge.stop.tooLate(q.started, q.deadline) {
+		q.reject(http.StatusServiceUnavailable, reasonStopping, rejectedRetryAfter)
+		return false
+	}
 	name := q.pickService(table)
 	spec, ok := table.Service(name)
 	if !ok {
--- a/edge/relayserver.go
+++ b/edge/relayserver.go
@@ -86,7 +86,7 @@
 func (e *Edge) cannotServeReason() string {
 	switch {
 	case e.draining.Load():
-		return "stopping"
+		return reasonStopping
 	case e.cutOff():
 		return reasonCutOff
 	case e.table.Load() == nil:
@@ -157,7 +157,7 @@
 // notTakenReasons are the reasons of rejections after which another relay may serve the
 // request: they lie with this host and not with the load of the targets.
 var notTakenReasons = map[string]bool{
-	"stopping": true, reasonCutOff: true, "no_configuration": true, "no_targets": true, "relay_headers": true, "relay_full": true,
+	reasonStopping: true, reasonCutOff: true, "no_configuration": true, "no_targets": true, "relay_headers": true, "relay_full": true,
 	"configuration_older": true, "no_service": true, "unreachable": true,
 }
 
--- a/edge/service.go
+++ b/edge/service.go
@@ -120,6 +120,9 @@
 	case <-s.edge.cutOffBegins():
 		s.withdraw(r, decision)
 		return schedulerDecision{cutOff: true}, true
+	case <-s.edge.stop.ending:
+		s.withdraw(r, decision)
+		return schedulerDecision{rejected: true, rejection: scheduler.Rejection{Reason: reasonStopping, RetryAfter: rejectedRetryAfter}}, true
 	case <-ctx.Done():
 		s.withdraw(r, decision)
 		return schedulerDecision{}, false
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -18,8 +19,10 @@
 // A callerConn is a caller's connection whose requests are written piece by piece.
 type callerConn struct {
 	net.Conn
-	c      *qt.C
-	reader *bufio.Reader
+	c       *qt.C
+	reader  *bufio.Reader
+	timeout time.Duration // stated in the requests
+	work    time.Duration // asked of the target
 }
 
 // connect opens a connection to a host.
@@ -27,14 +30,17 @@
 	conn, err := net.Dial("tcp4", h.settings[host].EntryAddress.String())
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = conn.Close() })
-	return &callerConn{conn, c, bufio.NewReader(conn)}
+	return &callerConn{Conn: conn, c: c, reader: bufio.NewReader(conn), timeout: callerTimeout}
 }
 
 // write writes the bytes of a request from first to last. Negative numbers count from the end, as does a last of 0.
 func (conn *callerConn) write(id string, first, last int) {
 	req, err := http.NewRequest(http.MethodGet, "http://quotes.example/holders/1", http.NoBody)
 	conn.c.Assert(err, qt.IsNil)
-	platform.SetRequestMeta(req.Header, platform.RequestMeta{ID: id, Timeout: callerTimeout})
+	platform.SetRequestMeta(req.Header, platform.RequestMeta{ID: id, Timeout: conn.timeout})
+	if conn.work > 0 {
+		req.Header.Set(standin.ServiceTimeHeader, conn.work.String())
+	}
 	var b bytes.Buffer
 	conn.c.Assert(req.Write(&b), qt.IsNil)
 	if first < 0 {
@@ -134,3 +140,81 @@
 	status, _ = used.read("second")
 	c.Check(status, qt.Equals, http.StatusOK)
 }
+
+// A host that stops accepts a late request only if it can finish it before its process ends.
+func TestStoppingHostRejectsLateRequestsThatMayOutliveIt(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(t, 1)
+	a := h.server(standin.ServerOptions{Name: "a", Service: "stock"})
+	h.configure([]platform.Route{
+		route("stock", "/holders/", platform.Idempotent, func(r *platform.Route) { r.Timeout = time.Minute }),
+	}, plain("stock"))
+	h.waitServing(0, "/holders/1")
+	tests := []struct {
+		id      string
+		timeout time.Duration
+		status  int
+		runs    int
+	}{
+		{"short", time.Second, http.StatusOK, 1},
+		{"long", 20 * time.Second, http.StatusServiceUnavailable, 0},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- h.edges[0].Shutdown(ctx) }()
+	time.Sleep(2300 * time.Millisecond) // new connections are accepted until 2.5 s
+	conns := make([]*callerConn, len(tests))
+	for i, test := range tests {
+		conns[i] = h.connect(c, 0)
+		conns[i].timeout = test.timeout
+		conns[i].write(test.id, 0, 40)
+	}
+	time.Sleep(400 * time.Millisecond) // until connections are no longer accepted
+	for i, test := range tests {
+		conns[i].write(test.id, 40, 0)
+		status, _ := conns[i].read(test.id)
+		c.Check(status, qt.Equals, test.status, qt.Commentf(test.id))
+		c.Check(requestRuns(test.id, a), qt.HasLen, test.runs, qt.Commentf(test.id))
+	}
+	c.Check(<-stopped, qt.IsNil)
+}
+
+// Requests that no target has got are rejected before the process ends.
+func TestStoppingHostRejectsWaitingRequests(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(t, 1)
+	a := h.server(standin.ServerOptions{Name: "a", Service: "stock", Slots: 1, QueueLimit: 1})
+	h.configure([]platform.Route{
+		route("stock", "/holders/", platform.AtMostOnce, func(r *platform.Route) { r.Timeout, r.Objective = time.Minute, time.Minute }),
+	}, plain("stock"))
+	h.waitServing(0, "/holders/1")
+	conns := make([]*callerConn, 8)
+	for i := range conns {
+		conns[i] = h.connect(c, 0)
+		conns[i].timeout, conns[i].work = 20*time.Second, 20*time.Second
+		conns[i].write(fmt.Sprint("waiting-", i), 0, 0)
+	}
+	h.eventually("all requests have arrived", func() bool { return h.edges[0].ActiveRequests() == int64(len(conns)) })
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	c.Check(h.edges[0].Shutdown(ctx), qt.IsNil)
+	rejected, waiting := 0, 0
+	for i, conn := range conns {
+		id := fmt.Sprint("waiting-", i)
+		if len(requestRuns(id, a)) > 0 {
+			continue
+		}
+		c.Assert(conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)), qt.IsNil)
+		resp, err := http.ReadResponse(conn.reader, nil)
+		if err != nil {
+			waiting++
+			continue
+		}
+		_ = resp.Body.Close()
+		c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf(id))
+		rejected++
+	}
+	c.Check(rejected > 0, qt.IsTrue)
+	c.Check(waiting <= 1, qt.IsTrue, qt.Commentf("%d requests without an answer; only one fits the target's queue", waiting))
+}
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -83,6 +83,8 @@
 	{"ed-shutdown", "edge/entry.go", "err := e.entryServer.drain(ctx)", "err := e.entryServer.server.Close()", "./edge"},
 	{"ed-active", "edge/connserver.go", "case http.StateActive:", "case -1:", "./edge"},
 	{"ed-minidle", "edge/entry.go", "max(minIdleTimeout, table.Configuration.Limits.IdleTimeout)", "table.Configuration.Limits.IdleTimeout", "./edge"},
+	{"ed-too-late", "edge/handler.go", "q.edge.stop.tooLate(q.started, q.deadline)", "false", "./edge -run ^TestStoppingHostRejectsLate"},
+	{"ed-end-waiting", "edge/stop.go", "s.once.Do(func() { close(s.ending) })", "s.once.Do(func() {})", "./edge -run ^TestStoppingHostRejectsWaiting"},
 	{"ed-drain-close", "edge/handler.go", "if q.edge.draining.Load() {", "if false {", "./edge"},
 	{"ed-crashrefuse", "edge/handler.go", "if rejected {", "if rejected && false {", "./edge"},
 	{"ed-noconf", "edge/handler.go", `q.reject(http.StatusServiceUnavailable, "no_configuration", startingRetryAfter)`, `q.reject(http.StatusNotFound, "no_configuration", 0)`, "./edge"},
