--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -45,6 +45,10 @@
 // caller requests from a Server.
 const ResponseSizeHeader = "Standin-Size"
 
+// ReadDelayHeader is the header with the time that a Server works on a request before it reads the
+// body, as a duration with a unit.
+const ReadDelayHeader = "Standin-Read-Delay"
+
 // A Run records one run of a request, for checks in tests.
 type Run struct {
 	ID        string    `json:"id"`
@@ -61,6 +65,8 @@
 	// SenderDisconnected reports whether the sender closed the connection before the
 	// end of the run.
 	SenderDisconnected bool `json:"left"`
+	// Faulty reports whether an injected fault replaced the response or a part of it.
+	Faulty bool `json:"faulty"`
 }
 
 // A Server is a stand-in for a target on the users' platform. It writes its own
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -57,13 +57,18 @@
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, time.Now())
 	s.mu.Unlock()
-	body, err := io.ReadAll(r.Body)
-	bodyComplete := err == nil
+	readDelay, delayErr := time.ParseDuration(r.Header.Get(ReadDelayHeader))
+	readsLate := delayErr == nil && readDelay > 0
+	var body []byte
+	var err error
+	if !readsLate {
+		body, err = io.ReadAll(r.Body)
+	}
 	if !s.admit(r.Context()) {
 		s.reject(w, call.ID, http.StatusServiceUnavailable)
 		return
 	}
-	index, ok := s.startRun(call, bodyComplete)
+	index, ok := s.startRun(call, err == nil && !readsLate)
 	if !ok {
 		s.reject(w, call.ID, http.StatusMisdirectedRequest)
 		return
@@ -72,8 +77,15 @@
 		s.crash()
 		return
 	}
-	s.simulateServiceTime(r, call)
-	disconnected := r.Context().Err() != nil
+	if readsLate {
+		sleep(r.Context(), min(readDelay, maxServiceTime))
+		body, err = io.ReadAll(r.Body)
+		s.setBodyComplete(index, err == nil)
+	}
+	if !readsLate || err == nil {
+		s.simulateServiceTime(r, call)
+	}
+	disconnected := r.Context().Err() != nil || readsLate && err != nil // the context does not end before the body is read
 	s.endRun(call, index, disconnected)
 	s.respond(w, r, call.ID, len(body), index)
 }
@@ -101,6 +113,13 @@
 	return len(s.runs) - 1, true
 }
 
+// setBodyComplete records whether the body of a request that was read late was complete.
+func (s *Server) setBodyComplete(index int, complete bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[index].BodyComplete = complete
+}
+
 // endRun records the end of a run and frees its slot. disconnected reports whether
 // the sender closed the connection.
 func (s *Server) endRun(call platform.RequestMeta, index int, disconnected bool) {
@@ -146,6 +165,11 @@
 // of the run modulo 20, so that their shares have a resolution of 5%.
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, id string, received, index int) {
 	f, position := s.currentFaults(), float64(index%20)/20
+	if position < f.UnansweredShare+f.ErrorShare+f.TruncatedShare {
+		s.mu.Lock()
+		s.runs[index].Faulty = true
+		s.mu.Unlock()
+	}
 	if position < f.UnansweredShare {
 		<-r.Context().Done()
 		return
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/redwingtally/redwingtally/internal/standin"
@@ -24,9 +26,37 @@
 
 // callResult is the outcome of one request at its caller.
 type callResult struct {
+	call
+	daemon  *daemon
+	sent    time.Time
+	written time.Time // of the last byte of the request; zero if it was not written completely
+	ended   time.Time // end of the response or of the connection
+	status  int       // 0 if there was no complete response
+	signed  bool      // the response is that of a target
+	refused bool      // there was no connection
+	err     error     // why there was no complete response
+}
+
+// call is a request to send.
+type call struct {
 	id         string
+	path       string
 	atMostOnce bool
-	status     int // 0 if there was no complete response
+	keyed      bool // the route is that of the keyed service
+	key        uint16
+	timeout    time.Duration
+	body       string
+	work       time.Duration // 0 means the target's default
+	readDelay  time.Duration // time until the target reads the body
+}
+
+// shortCall returns a request that targets run at once.
+func shortCall(id string, key uint16, atMostOnce bool) call {
+	c := call{id: id, path: "/stock/1", keyed: true, key: key, timeout: 2 * time.Second, body: "body of " + id}
+	if atMostOnce {
+		c.path, c.keyed, c.atMostOnce = "/deposit/1", false, true
+	}
+	return c
 }
 
 func (r *callerResults) addViolationf(format string, a ...any) {
@@ -44,7 +74,7 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}, Timeout: 3 * time.Second}
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%s-%d-%d", d.name, caller, n)
-		s.sendRequest(ctx, client, d, id, requestKeys[(n+caller)%len(requestKeys)], n%2 == 1)
+		s.sendRequest(client, d, shortCall(id, requestKeys[(n+caller)%len(requestKeys)], n%2 == 1))
 		select {
 		case <-ctx.Done():
 		case <-time.After(10 * time.Millisecond):
@@ -54,30 +84,49 @@
 
 // sendRequest sends one request, checks the body of a 200 response and returns the
 // status, or 0 if there was no complete response.
-func (s *system) sendRequest(ctx context.Context, client *http.Client, d *daemon, id string, key uint16, atMostOnce bool) int {
-	method, path := http.MethodGet, "/stock/1"
-	if atMostOnce {
-		method, path = http.MethodPost, "/deposit/1"
+func (s *system) sendRequest(client *http.Client, d *daemon, c call) int {
+	method := http.MethodGet
+	if c.atMostOnce {
+		method = http.MethodPost
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.entryAddress.String()+path, strings.NewReader("body of "+id))
+	result := callResult{call: c, daemon: d, sent: time.Now()}
+	var written atomic.Int64 // the request may be written by the transport after its response
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			written.Store(time.Now().UnixNano())
+		}
+	}})
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.entryAddress.String()+c.path, strings.NewReader(c.body))
 	if err != nil {
 		s.results.addViolationf("%v", err)
 		return 0
 	}
 	req.GetBody = nil // keeps net/http from resending the request
 	req.Host = "quotes.example"
-	platform.SetRequestMeta(req.Header, platform.RequestMeta{ID: id, Timeout: 2 * time.Second, Key: key, HasKey: true})
-	result := callResult{id: id, atMostOnce: atMostOnce}
-	if resp, err := client.Do(req); err == nil {
-		body, err := io.ReadAll(resp.Body)
+	platform.SetRequestMeta(req.Header, platform.RequestMeta{ID: c.id, Timeout: c.timeout, Key: c.key, HasKey: true})
+	if c.work > 0 {
+		req.Header.Set(standin.ServiceTimeHeader, c.work.String())
+	}
+	if c.readDelay > 0 {
+		req.Header.Set(standin.ReadDelayHeader, c.readDelay.String())
+	}
+	resp, err := client.Do(req)
+	if err == nil {
+		var body []byte
+		body, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		if err == nil {
-			result.status = resp.StatusCode
+			result.status, result.signed = resp.StatusCode, platform.ReadResponseMeta(resp.StatusCode, resp.Header).Signed
 		}
-		if err == nil && resp.StatusCode == http.StatusOK && !strings.HasSuffix(string(body), "from "+id+"\n") {
-			s.results.addViolationf("request %s received the response %q", id, body)
+		if err == nil && resp.StatusCode == http.StatusOK && !strings.HasSuffix(string(body), "from "+c.id+"\n") {
+			s.results.addViolationf("request %s received the response %q", c.id, body)
 		}
 	}
+	result.ended, result.err, result.refused = time.Now(), err, isRefused(err)
+	if ns := written.Load(); ns > 0 {
+		result.written = time.Unix(0, ns)
+	}
+	result.body = ""
 	s.results.mu.Lock()
 	s.results.responses = append(s.results.responses, result)
 	s.results.mu.Unlock()
@@ -121,6 +170,7 @@
 			violations = append(violations, fmt.Sprintf("request %s was rejected with status %d but has run", result.id, result.status))
 		}
 	}
+	violations = append(violations, s.lostRequests(runs, s.results.responses)...)
 	violations = append(violations, s.rateLimitViolations()...)
 	for key, keyRuns := range byKey {
 		violations = append(violations, ownershipViolations(key, keyRuns)...)
--- /dev/null
+++ b/soak/lost_test.go
@@ -0,0 +1,148 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/redwingtally/redwingtally/internal/standin"
+)
+
+const (
+	// lossSlack is the time after the last byte of a request by which an unread request must have been given up.
+	lossSlack = 200 * time.Millisecond
+	// lateStart is the time from a SIGTERM to the last request whose work may be cut in the last sixth of the shutdown time.
+	lateStart = 3 * time.Second
+)
+
+// spans are periods in time order. Only the last one can be open.
+type spans struct {
+	mu   sync.Mutex
+	list []span
+}
+
+// span is a period. It is open, and lasts, while its end is zero.
+type span struct{ from, to time.Time }
+
+// begin starts a period unless one is open.
+func (s *spans) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isOpen() {
+		s.list = append(s.list, span{from: time.Now()})
+	}
+}
+
+// end ends the open period, if there is one.
+func (s *spans) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isOpen() {
+		s.list[len(s.list)-1].to = time.Now()
+	}
+}
+
+// mark records a moment.
+func (s *spans) mark() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); !s.isOpen() {
+		s.list = append(s.list, span{now, now})
+	}
+}
+
+// isOpen reports whether a period is open. The lock must be held.
+func (s *spans) isOpen() bool { return len(s.list) > 0 && s.list[len(s.list)-1].to.IsZero() }
+
+// find returns the first period that has a part between two times.
+func (s *spans) find(from, to time.Time) (span, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.list {
+		if !p.from.After(to) && (p.to.IsZero() || !p.to.Before(from)) {
+			return p, true
+		}
+	}
+	return span{}, false
+}
+
+// lostRequests returns the requests that a daemon lost without an unplanned fault: one that a sound target ran got no complete
+// response; or, while the daemon was stopping, a response of its own while the target was at work; or the daemon read one and
+// closed the connection long after its arrival. Faults excuse the requests that were in progress at that daemon or target.
+func (s *system) lostRequests(runs []standin.Run, results []callResult) []string {
+	byID := map[string][]standin.Run{}
+	for _, r := range runs {
+		byID[r.ID] = append(byID[r.ID], r)
+	}
+	proxies := map[string]*proxy{}
+	s.mu.Lock()
+	for _, tg := range s.targets {
+		proxies[tg.Name()] = tg.proxy
+	}
+	s.mu.Unlock()
+	var lost []string
+	for _, r := range results {
+		if _, faulty := r.daemon.faults.find(r.sent, r.ended); faulty || r.refused {
+			continue
+		}
+		if _, faulty := r.daemon.storeProxy.faults.find(r.sent, r.ended); faulty && r.keyed {
+			continue // a disruption of the store excuses nothing for other requests
+		}
+		stop, stopping := r.daemon.stops.find(r.sent, r.ended)
+		replaced := stopping && !r.signed && (r.status == http.StatusBadGateway || r.status == http.StatusGatewayTimeout) &&
+			r.ended.Before(r.sent.Add(r.timeout))
+		loss := ""
+		for _, run := range byID[r.id] {
+			_, faulty := proxies[run.Server].faults.find(r.sent, r.ended)
+			atWork := run.EndedAt.IsZero() || run.SenderDisconnected || run.EndedAt.After(r.ended)
+			lastSixth := stopping && !r.sent.After(stop.from.Add(lateStart)) && atWork && r.ended.After(stop.from.Add(s.options.shutdown*5/6))
+			switch {
+			case faulty || run.Faulty || lastSixth:
+			case r.status == 0:
+				loss = "no complete response, but it ran at " + run.Server
+			case replaced && atWork:
+				loss = fmt.Sprintf("status %d of the daemon while %s was at work", r.status, run.Server)
+			}
+		}
+		if len(byID[r.id]) == 0 && errors.Is(r.err, io.EOF) && r.ended.Sub(r.written) > lossSlack && !r.written.IsZero() {
+			loss = "it was read and its connection closed"
+		}
+		if loss == "" {
+			continue
+		}
+		since := "not stopping"
+		if stopping {
+			since = fmt.Sprintf("sent %s after SIGTERM", r.sent.Sub(stop.from).Round(time.Millisecond))
+		}
+		lost = append(lost, fmt.Sprintf("request %s is lost after %s (%s): %s (%v)", r.id, r.ended.Sub(r.sent).Round(time.Millisecond), since, loss, r.err))
+		s.t.Logf("%s at %s:\n%s", r.id, r.ended.Format(time.RFC3339Nano), r.daemon.logLines(r.id))
+	}
+	return lost
+}
+
+// isRefused reports whether a request failed before it had a connection.
+func isRefused(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// logLines returns the lines of the daemon's log about a request.
+func (d *daemon) logLines(id string) string {
+	text, err := os.ReadFile(d.logs.Name())
+	if err != nil {
+		return err.Error()
+	}
+	var lines []string
+	for line := range strings.Lines(string(text)) {
+		if strings.Contains(line, `"`+id+`"`) {
+			lines = append(lines, line)
+		}
+	}
+	return strings.Join(lines, "")
+}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -40,6 +40,7 @@
 	mode        proxyMode
 	modeChanged chan struct{}
 	conns       map[net.Conn]bool
+	faults      spans // times in another mode than passThrough
 }
 
 func startProxy(upstream netip.AddrPort) (*proxy, error) {
@@ -59,6 +60,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
+	p.faults.end()
+	if m != passThrough {
+		p.faults.begin()
+	}
 	close(p.modeChanged)
 	p.modeChanged = make(chan struct{})
 	if m == resetAll {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -141,7 +141,7 @@
 // served.
 func runSoak(t *testing.T, seed uint64) {
 	c := qt.New(t)
-	s := newSystem(t, seed)
+	s := newSystem(t, seed, defaultSystem)
 	ctx, stop := context.WithCancel(context.Background())
 	var callers, activeFaults sync.WaitGroup
 	for _, d := range s.daemons {
@@ -225,7 +225,7 @@
 			n := 0
 			s.eventually(fmt.Sprintf("%s serves key %d", d.name, key), func() bool {
 				n++
-				return s.sendRequest(context.Background(), client, d, fmt.Sprintf("recovered-%s-%d-%d", d.name, i, n), key, false) == http.StatusOK
+				return s.sendRequest(client, d, shortCall(fmt.Sprintf("recovered-%s-%d-%d", d.name, i, n), key, false)) == http.StatusOK
 			})
 		}
 		s.eventually(d.name+" has the latest configuration in force", func() bool {
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,12 +25,28 @@
 )
 
 const (
-	hostCount      = 4
-	targetPairs    = 4 // pairs of targets of one service; the services alternate
 	keyedService   = "stock"
 	depositService = "deposits"
 )
 
+// systemOptions are the sizes of a system and the settings that differ between runs.
+type systemOptions struct {
+	hosts       int
+	targetPairs int // pairs of targets of one service; the services alternate
+	slots       int // of each target
+	// direct makes the daemons reach the targets without proxies, which buffer what a target does not read.
+	direct   bool
+	shutdown time.Duration
+	// cpuShare is the CPU time of each daemon, in cores.
+	cpuShare     float64
+	routeTimeout time.Duration
+	idleTimeout  time.Duration
+}
+
+var defaultSystem = systemOptions{
+	hosts: 4, targetPairs: 4, slots: 4, shutdown: 6 * time.Second, cpuShare: 1, routeTimeout: 2 * time.Second, idleTimeout: 15 * time.Second,
+}
+
 func TestMain(m *testing.M) { programs.Main(m) }
 
 // daemon is the process of one host. It reaches the store through a proxy.
@@ -44,7 +61,11 @@
 	cmd              *exec.Cmd
 	exited           chan struct{}
 	paused           bool
-	starts           int // plus the daemon's number, so that neighbours run different builds
+	faults           spans       // pauses, and the times from a kill to the next start
+	stops            spans       // from SIGTERM to the end of the process
+	restarting       sync.Mutex  // held during a planned restart
+	starting         atomic.Bool // a SIGHUP might end the process before it handles signals
+	starts           int         // plus the daemon's number, so that neighbours run different builds
 }
 
 // target is a stand-in target that is reached through a proxy.
@@ -58,6 +79,7 @@
 // system is the platform, the daemons and the targets of one run.
 type system struct {
 	t               *testing.T
+	options         systemOptions
 	random          *rand.Rand
 	dir             string
 	platform        *exec.Cmd
@@ -66,6 +88,7 @@
 	daemons         []*daemon
 	mu              sync.Mutex
 	targets         []*target
+	idleTimeout     time.Duration // of the latest configuration
 	stoppedRuns     []standin.Run // of stopped targets
 	rateLimits      []rateLimit
 	configVersion   int
@@ -73,19 +96,21 @@
 	results         callerResults
 }
 
-func newSystem(t *testing.T, seed uint64) *system {
-	s := &system{t: t, random: rand.New(rand.NewPCG(seed, 3)), dir: t.TempDir(), platformAddress: ports.Free(t)}
+func newSystem(t *testing.T, seed uint64, o systemOptions) *system {
+	s := &system{
+		t: t, options: o, random: rand.New(rand.NewPCG(seed, 3)), dir: t.ArtifactDir(), platformAddress: ports.Free(t), idleTimeout: o.idleTimeout,
+	}
 	s.platform = exec.Command(programs.Path(t, "redwingtally-standin"), "platform", "--era", "1", "--address", s.platformAddress.String())
 	qt.Assert(t, s.platform.Start(), qt.IsNil)
 	t.Cleanup(func() { _ = s.platform.Process.Kill(); _ = s.platform.Wait() })
 	s.client = platform.NewClient(s.platformAddress)
 	s.eventually("platform", func() bool { _, _, err := s.client.List(context.Background(), "config"); return err == nil })
-	for i := range targetPairs {
+	for i := range o.targetPairs {
 		s.addTarget([]string{keyedService, depositService}[i%2])
 		s.addTarget([]string{keyedService, depositService}[i%2])
 	}
 	s.configure()
-	for i := range hostCount {
+	for i := range o.hosts {
 		s.addDaemon(fmt.Sprint("host-", i))
 	}
 	for _, d := range s.daemons {
@@ -101,8 +126,12 @@
 	backend := ports.Free(s.t)
 	p, err := startProxy(backend)
 	qt.Assert(s.t, err, qt.IsNil)
+	advertised := p.address()
+	if s.options.direct {
+		advertised = backend
+	}
 	srv, err := standin.StartServer(backend, s.platformAddress, standin.ServerOptions{
-		Name: fmt.Sprintf("%s-%d", service, s.targetCount), Service: service, Keyed: service == keyedService, Slots: 4, Advertise: p.address(),
+		Name: fmt.Sprintf("%s-%d", service, s.targetCount), Service: service, Keyed: service == keyedService, Slots: s.options.slots, Advertise: advertised,
 	})
 	qt.Assert(s.t, err, qt.IsNil)
 	s.targets = append(s.targets, &target{Server: srv, proxy: p, service: service})
@@ -118,6 +147,7 @@
 		return
 	}
 	tg.stopped = true
+	tg.proxy.faults.mark()
 	tg.Stop()
 	s.stoppedRuns = append(s.stoppedRuns, tg.Runs()...)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -137,10 +167,11 @@
 	}
 	tg.stopped = true
 	backend := tg.Address()
+	tg.proxy.faults.mark()
 	tg.Stop()
 	s.stoppedRuns = append(s.stoppedRuns, tg.Runs()...)
 	srv, err := standin.StartServer(backend, s.platformAddress, standin.ServerOptions{
-		Name: tg.Name(), Service: tg.service, Keyed: tg.service == keyedService, Slots: 4, Advertise: tg.proxy.address(),
+		Name: tg.Name(), Service: tg.service, Keyed: tg.service == keyedService, Slots: s.options.slots, Advertise: tg.proxy.address(),
 		RegistrationDelay: registrationDelay,
 	})
 	qt.Assert(s.t, err, qt.IsNil)
@@ -175,7 +206,7 @@
 	s.configVersion++
 	route := func(service, prefix string, repeat platform.ExecutionSemantics) platform.Route {
 		return platform.Route{
-			Name: prefix, Host: "quotes.example", Prefix: prefix, Repeat: repeat, Timeout: 2 * time.Second,
+			Name: prefix, Host: "quotes.example", Prefix: prefix, Repeat: repeat, Timeout: s.options.routeTimeout,
 			Objective: 300 * time.Millisecond, Rank: 1, Attempts: 2, Shares: []platform.WeightedService{{Service: service, Weight: 1}},
 		}
 	}
@@ -189,7 +220,7 @@
 			{Name: keyedService, HealthPath: "/health", MaxConnections: 100, Keyed: true, Warmup: time.Second},
 			{Name: depositService, HealthPath: "/health", MaxConnections: 100},
 		},
-		Limits: platform.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Limits: platform.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: s.idleTimeout},
 	})
 	qt.Assert(s.t, err, qt.IsNil)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -204,8 +235,8 @@
 	qt.Assert(s.t, err, qt.IsNil)
 	s.t.Cleanup(p.stop)
 	d := &daemon{name: name, starts: len(s.daemons), entryAddress: ports.Free(s.t), readinessAddress: ports.Free(s.t), storeProxy: p, settingsFile: filepath.Join(s.dir, name+".yaml")}
-	text := fmt.Sprintf("host: %s\ndata_centre: leicester\nentry_address: %s\nready_address: %s\ncontrol_address: %s\nmetrics_address: %s\nstore_address: %s\nshutdown: 6s\n",
-		name, d.entryAddress, d.readinessAddress, ports.Free(s.t), ports.Free(s.t), p.address())
+	text := fmt.Sprintf("host: %s\ndata_centre: leicester\nentry_address: %s\nready_address: %s\ncontrol_address: %s\nmetrics_address: %s\nstore_address: %s\nshutdown: %s\ncpu_share: %g\n",
+		name, d.entryAddress, d.readinessAddress, ports.Free(s.t), ports.Free(s.t), p.address(), s.options.shutdown, s.options.cpuShare)
 	qt.Assert(s.t, os.WriteFile(d.settingsFile, []byte(text), 0o600), qt.IsNil)
 	d.logs, err = os.Create(filepath.Join(s.dir, name+".log"))
 	qt.Assert(s.t, err, qt.IsNil)
@@ -226,14 +257,24 @@
 	qt.Assert(t, d.cmd.Start(), qt.IsNil)
 	cmd, done := d.cmd, make(chan struct{})
 	d.exited, d.paused = done, false
-	go func() { _ = cmd.Wait(); close(done) }()
+	d.faults.end()
+	go func() { _ = cmd.Wait(); d.stops.end(); close(done) }()
 }
 
 // signal sends sig to the daemon's process.
 func (d *daemon) signal(sig syscall.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	switch sig {
+	case syscall.SIGSTOP, syscall.SIGKILL:
+		d.faults.begin()
+	case syscall.SIGTERM:
+		d.stops.begin()
+	}
 	_ = d.cmd.Process.Signal(sig) // fails only if the process has ended
+	if sig == syscall.SIGCONT {
+		d.faults.end()
+	}
 	d.paused = sig == syscall.SIGSTOP || d.paused && sig != syscall.SIGCONT
 }
 
