--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,6 +21,7 @@
 	seedCount = flag.Int("soak.seeds", 0, "number of new seeds that TestNewSeeds runs")
 	seedFlag  = flag.Uint64("soak.seed", 1, "seed that TestSeed runs")
 	runLength = flag.Duration("soak.length", 12*time.Second, "duration of fault injection in each run")
+	callers   = flag.Int("soak.callers", 10, "number of callers of each daemon in TestPlannedRestarts")
 	previous  = flag.String("soak.previous", "", "absolute path of the daemon of an earlier build, which every daemon runs at every other start")
 )
 
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -54,6 +54,7 @@
 	mu               sync.Mutex
 	name             string
 	settingsFile     string
+	environment      []string // of the process, beside that of the test
 	logs             *os.File
 	entryAddress     netip.AddrPort
 	readinessAddress netip.AddrPort
@@ -240,6 +241,9 @@
 	qt.Assert(s.t, os.WriteFile(d.settingsFile, []byte(text), 0o600), qt.IsNil)
 	d.logs, err = os.Create(filepath.Join(s.dir, name+".log"))
 	qt.Assert(s.t, err, qt.IsNil)
+	if s.options.cpuShare < 1 {
+		d.environment = []string{"GOMAXPROCS=1"} // the platform reports one core
+	}
 	s.daemons = append(s.daemons, d)
 	d.start(s.t)
 	s.t.Cleanup(func() { d.kill(); _ = d.logs.Close() })
@@ -253,6 +257,7 @@
 		path = *previous
 	}
 	d.cmd = exec.Command(path, "--settings", d.settingsFile)
+	d.cmd.Env = append(os.Environ(), d.environment...)
 	d.cmd.Stdout, d.cmd.Stderr = d.logs, d.logs
 	qt.Assert(t, d.cmd.Start(), qt.IsNil)
 	cmd, done := d.cmd, make(chan struct{})
