--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -25,9 +25,9 @@
 	work    time.Duration // asked of the target
 }
 
-// connect opens a connection to a host.
-func (h *harness) connect(c *qt.C, host int) *callerConn {
-	conn, err := net.Dial("tcp4", h.settings[host].EntryAddress.String())
+// connect opens a connection to the first host.
+func (h *harness) connect(c *qt.C) *callerConn {
+	conn, err := net.Dial("tcp4", h.settings[0].EntryAddress.String())
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = conn.Close() })
 	return &callerConn{Conn: conn, c: c, reader: bufio.NewReader(conn), timeout: callerTimeout}
@@ -85,7 +85,7 @@
 			h.server(standin.ServerOptions{Name: "a", Service: "stock"})
 			h.configure([]platform.Route{route("stock", "/holders/", platform.Idempotent)}, plain("stock"))
 			h.waitServing(0, "/holders/1")
-			conn := h.connect(c, 0)
+			conn := h.connect(c)
 			if test.kept {
 				conn.write("before", 0, 0)
 				status, closed := conn.read("before")
@@ -122,7 +122,7 @@
 	h.server(standin.ServerOptions{Name: "a", Service: "stock"})
 	h.configure([]platform.Route{route("stock", "/holders/", platform.Idempotent)}, plain("stock"))
 	h.waitServing(0, "/holders/1")
-	idle, used := h.connect(c, 0), h.connect(c, 0)
+	idle, used := h.connect(c), h.connect(c)
 	for _, conn := range []*callerConn{idle, used} {
 		conn.write("first", 0, 0)
 		status, _ := conn.read("first")
@@ -166,7 +166,7 @@
 	time.Sleep(2300 * time.Millisecond) // new connections are accepted until 2.5 s
 	conns := make([]*callerConn, len(tests))
 	for i, test := range tests {
-		conns[i] = h.connect(c, 0)
+		conns[i] = h.connect(c)
 		conns[i].timeout = test.timeout
 		conns[i].write(test.id, 0, 40)
 	}
@@ -191,7 +191,7 @@
 	h.waitServing(0, "/holders/1")
 	conns := make([]*callerConn, 8)
 	for i := range conns {
-		conns[i] = h.connect(c, 0)
+		conns[i] = h.connect(c)
 		conns[i].timeout, conns[i].work = 20*time.Second, 20*time.Second
 		conns[i].write(fmt.Sprint("waiting-", i), 0, 0)
 	}
--- a/exchange/slowreader_test.go
+++ b/exchange/slowreader_test.go
@@ -46,7 +46,7 @@
 					}
 					header := http.Header{}
 					platform.SetResponseMeta(header, "a", platform.ResponseMeta{ID: platform.ReadRequestMeta(req.Header).ID, Signed: true})
-					if (&http.Response{StatusCode: 200, ProtoMajor: 1, ProtoMinor: 1, Header: header}).Write(conn) != nil {
+					if (&http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, Header: header}).Write(conn) != nil {
 						return
 					}
 				}
