--- a/edge/connserver.go
+++ b/edge/connserver.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -23,35 +24,37 @@
 // expired is a read deadline that has passed.
 var expired = time.Unix(1, 0)
 
-// A connServer is an HTTP server that answers every request it has read, also while it closes idle connections or
-// stops. http.Server.Shutdown does neither: it takes a connection as idle until a whole header is read, and drops
+// A connServer is an HTTP server that handles the requests it has begun to read, also while it closes idle connections or
+// stops. http.Server.Shutdown does not: it takes a connection as idle until a whole header is read, and drops
 // requests that are read after its start.
 //
-// It ends the connections by a read deadline in the past. Unlike a close, that cannot hit a request that has
-// been read already.
+// It ends connections by a read deadline in the past. Unlike a close, that cannot hit a request that has
+// been read already. Callers must not send a request before the response to the one before.
 type connServer struct {
 	server   *http.Server
 	listener net.Listener
 	log      *slog.Logger
 	metrics  *metric.Set
-	part     string // prefix of log lines
+	part     string        // prefix of log lines
+	served   chan struct{} // closed when no further connection is accepted
 	mu       sync.Mutex
 	conns    map[*trackedConn]struct{}
 }
 
 // newConnServer returns a server that serves connections of ln with server's settings.
 func newConnServer(part string, ln net.Listener, server *http.Server, log *slog.Logger, metrics *metric.Set) *connServer {
-	s := &connServer{server: server, listener: ln, log: log, metrics: metrics, part: part, conns: map[*trackedConn]struct{}{}}
+	s := &connServer{server: server, listener: ln, log: log, metrics: metrics, part: part, served: make(chan struct{}), conns: map[*trackedConn]struct{}{}}
 	server.ConnState = s.trackState
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connContextKey{}, c)
 	}
-	server.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelWarn) // a panic closes the caller's connection
+	server.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelWarn) // net/http logs panics of handlers there
 	return s
 }
 
 // serve accepts connections until drain.
 func (s *connServer) serve() {
+	defer close(s.served)
 	if err := s.server.Serve(trackingListener{s.listener, s}); err != nil && !errors.Is(err, net.ErrClosed) {
 		s.log.Error(s.part+": Server failed.", "error", err.Error())
 	}
@@ -66,10 +69,12 @@
 	mu        sync.Mutex
 	used      bool      // a request was read
 	idleSince time.Time // start of the idle period; zero before the first request and while one is in progress
-	receiving bool      // bytes were read since then
-	ending    bool      // the read deadline is expired
+	receiving bool      // bytes of the next request were read; valid while idle or unused
+	ending    bool      // the read deadline is in the past
+	left      bool      // reading failed, other than by a deadline
+	answered  bool      // something was written since the last request was read
+	handled   bool      // a handler was called for the last request
 	readAt    time.Time // when the header of the last request was read
-	handled   bool      // a handler was called for that request
 }
 
 // connContextKey is the context key of the trackedConn of a request.
@@ -96,20 +101,46 @@
 // Read keeps a connection from being ended once it has received bytes of a request.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.resume() {
+		n, err = c.TCPConn.Read(p)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if n > 0 {
 		c.received()
 	}
+	c.left = c.left || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	return n, err
 }
 
-// received records that bytes were read. If the connection was ended at the same time, it goes on.
-func (c *trackedConn) received() {
+// Write records that the connection carries an answer.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.answered = true
+	c.mu.Unlock()
+	return c.TCPConn.Write(p)
+}
+
+// resume reports whether bytes arrived just when the connection was ended, which then goes on.
+func (c *trackedConn) resume() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.receiving = true
-	if c.ending {
-		c.ending = false
-		_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection; the next read reports it
+	if !c.ending || !c.awaitsRequest() || !platform.HasUnread(c.TCPConn) {
+		return false
+	}
+	c.received()
+	return true
+}
+
+// awaitsRequest reports whether no request is in progress. The caller holds c.mu.
+func (c *trackedConn) awaitsRequest() bool { return !c.used || !c.idleSince.IsZero() }
+
+// received records that bytes were read. The time for the rest of the header begins with the first of them; net/http
+// begins with the fourth. The caller holds c.mu.
+func (c *trackedConn) received() {
+	if c.awaitsRequest() && (!c.receiving || c.ending) {
+		_ = c.SetReadDeadline(time.Now().Add(c.server.server.ReadHeaderTimeout)) // fails only on a closed connection; the next read reports it
+		c.receiving, c.ending = true, false
 	}
 }
 
@@ -123,13 +154,17 @@
 	case http.StateIdle:
 		c.idleSince, c.receiving = time.Now(), false
 	case http.StateActive:
+		if c.ending {
+			c.ending = false
+			_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection; the next read reports it
+		}
 		c.idleSince, c.used = time.Time{}, true
-		c.readAt, c.handled = time.Now(), false
+		c.readAt, c.handled, c.answered = time.Now(), false, false
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
-		if c.used && !c.handled {
+		if c.used && !c.handled && !c.answered && !c.left {
 			s.metrics.UnhandledRequests.WithLabelValues().Inc()
 			s.log.Warn(s.part+": Connection ended with a request that was not handled.", "caller", c.RemoteAddr().String(),
 				"read_ms_ago", time.Since(c.readAt).Milliseconds(), "ending", c.ending)
@@ -137,8 +172,8 @@
 	}
 }
 
-// handling records that a handler was called for the request of a connection.
-func handling(r *http.Request) {
+// markHandled records that a handler was called for the request of a connection.
+func markHandled(r *http.Request) {
 	if c, ok := r.Context().Value(connContextKey{}).(*trackedConn); ok {
 		c.setHandled()
 	}
@@ -162,7 +197,7 @@
 	}
 }
 
-// endUnused ends the connections that have been open for at least after without a byte of a request.
+// endUnused ends the connections that have been open for at least after and received nothing.
 func (s *connServer) endUnused(after time.Duration) {
 	now := time.Now()
 	for _, c := range s.open() {
@@ -203,6 +238,10 @@
 	if err := s.listener.Close(); err != nil {
 		s.log.Warn(s.part+": Closing the listener failed.", "error", err.Error())
 	}
+	select {
+	case <-s.served: // all accepted connections are tracked
+	case <-ctx.Done():
+	}
 	for len(s.open()) > 0 && ctx.Err() == nil {
 		s.endIdle(0)
 		s.endUnused(firstRequestWait)
--- a/edge/connserver_test.go
+++ b/edge/connserver_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/redwingtally/redwingtally/metric"
+	"github.com/redwingtally/redwingtally/platform"
 )
 
 // idleConn returns an idle connection of a server without a handler, and its peer.
@@ -20,7 +21,7 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = ln.Close() })
-	s := newConnServer("test", ln, &http.Server{}, slog.New(slog.DiscardHandler), metric.New())
+	s := newConnServer("test", ln, &http.Server{ReadHeaderTimeout: headerTimeout}, slog.New(slog.DiscardHandler), metric.New())
 	peer, err := net.Dial("tcp4", ln.Addr().String())
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = peer.Close() })
@@ -44,9 +45,11 @@
 	}{
 		{"idle", 0, func(*trackedConn, net.Conn) {}, true},
 		{"idle for less", time.Minute, func(*trackedConn, net.Conn) {}, false},
-		{"unread bytes", 0, func(_ *trackedConn, peer net.Conn) {
-			_, _ = peer.Write([]byte("G"))    // the assertion fails without it
-			time.Sleep(20 * time.Millisecond) // loopback
+		{"unread bytes", 0, func(conn *trackedConn, peer net.Conn) {
+			_, _ = peer.Write([]byte("G")) // the assertion fails without it
+			for end := time.Now().Add(5 * time.Second); !platform.HasUnread(conn.TCPConn) && time.Now().Before(end); {
+				time.Sleep(time.Millisecond) // polls loopback
+			}
 		}, false},
 		{"bytes were read", 0, func(conn *trackedConn, peer net.Conn) {
 			_, _ = peer.Write([]byte("G")) // the assertion fails without it
@@ -59,9 +62,11 @@
 		s, conn, peer := idleConn(c)
 		test.before(conn, peer)
 		s.endIdle(test.after)
-		_, err := peer.Write([]byte("E"))
-		c.Assert(err, qt.IsNil)
-		_, err = conn.Read(make([]byte, 1))
+		if !test.ended {
+			_, err := peer.Write([]byte("E"))
+			c.Assert(err, qt.IsNil)
+		}
+		_, err := conn.Read(make([]byte, 1))
 		c.Check(os.IsTimeout(err), qt.Equals, test.ended, qt.Commentf("%s: %v", test.name, err))
 	}
 }
@@ -71,7 +76,9 @@
 	c := qt.New(t)
 	s, conn, peer := idleConn(c)
 	s.endIdle(0)
+	conn.mu.Lock()
 	conn.received()
+	conn.mu.Unlock()
 	_, err := peer.Write([]byte("GET"))
 	c.Assert(err, qt.IsNil)
 	n, err := conn.Read(make([]byte, 3))
@@ -79,22 +86,61 @@
 	c.Check(n, qt.Equals, 3)
 }
 
+// A connection with only the first bytes of a request is closed after the header timeout.
+func TestIncompleteHeaderEndsAKeptConnection(t *testing.T) {
+	c := qt.New(t)
+	s, conn, peer := idleConn(c)
+	s.server.ReadHeaderTimeout = 50 * time.Millisecond
+	for range 2 {
+		_, err := peer.Write([]byte("\n")) // fewer bytes than net/http waits for
+		c.Assert(err, qt.IsNil)
+		_, err = conn.Read(make([]byte, 1))
+		c.Assert(err, qt.IsNil)
+	}
+	_, err := conn.Read(make([]byte, 1))
+	c.Check(os.IsTimeout(err), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// Bytes that arrive just after a connection was ended are read.
+func TestBytesThatArriveWhileAConnectionEnds(t *testing.T) {
+	c := qt.New(t)
+	s, conn, peer := idleConn(c)
+	s.endIdle(0)
+	_, err := peer.Write([]byte("G"))
+	c.Assert(err, qt.IsNil)
+	for end := time.Now().Add(5 * time.Second); !platform.HasUnread(conn.TCPConn) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond) // polls loopback
+	}
+	n, err := conn.Read(make([]byte, 1))
+	c.Check(err, qt.IsNil)
+	c.Check(n, qt.Equals, 1)
+}
+
 // A connection that closes with a request that no handler got is logged.
 func TestUnhandledRequestsAreLogged(t *testing.T) {
 	tests := []struct {
 		name   string
-		state  http.ConnState // before the connection closes
+		before func(conn *trackedConn, peer net.Conn) // what happens before the connection closes
 		logged bool
 	}{
-		{"idle", http.StateIdle, false},
-		{"a request was read", http.StateActive, true},
+		{"idle", func(conn *trackedConn, _ net.Conn) { conn.server.trackState(conn, http.StateIdle) }, false},
+		{"a request was read", func(conn *trackedConn, _ net.Conn) { conn.server.trackState(conn, http.StateActive) }, true},
+		{"a malformed request was answered", func(conn *trackedConn, _ net.Conn) {
+			conn.server.trackState(conn, http.StateActive)
+			_, _ = conn.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n")) // only that it is called counts
+		}, false},
+		{"the caller left", func(conn *trackedConn, peer net.Conn) {
+			conn.server.trackState(conn, http.StateActive)
+			_ = peer.Close() // the read fails otherwise
+			_, _ = conn.Read(make([]byte, 1))
+		}, false},
 	}
 	for _, test := range tests {
 		c := qt.New(t)
 		var log bytes.Buffer
-		s, conn, _ := idleConn(c)
+		s, conn, peer := idleConn(c)
 		s.log = slog.New(slog.NewTextHandler(&log, nil))
-		s.trackState(conn, test.state)
+		test.before(conn, peer)
 		s.trackState(conn, http.StateClosed)
 		c.Check(strings.Contains(log.String(), "not handled"), qt.Equals, test.logged, qt.Commentf(test.name))
 	}
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -68,7 +68,7 @@
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.activeRequests.Add(1)
 	defer e.activeRequests.Add(-1)
-	handling(r)
+	markHandled(r)
 	q := e.newRequest(w, r)
 	q.awaitInitialState()
 	q.handle()
--- a/edge/relayserver.go
+++ b/edge/relayserver.go
@@ -99,7 +99,7 @@
 
 // serveRelayed handles a request that another host passes on.
 func (e *Edge) serveRelayed(w http.ResponseWriter, r *http.Request) {
-	handling(r)
+	markHandled(r)
 	if relay.IsCheck(r.Header) {
 		answerCheck(w)
 		return
@@ -172,8 +172,7 @@
 	return relay.Rejected
 }
 
-// setResult sets the headers between hosts in the response to a relayed request. A relay
-// that is stopping closes the connection after the response.
+// setResult sets the headers between hosts in the response to a relayed request.
 func (q *request) setResult(h http.Header, kind relay.Kind) {
 	result := relay.Result{Kind: kind, Counted: q.counted && !q.relayed.Counted, Unavailable: q.relayUnavailable, RetryTaken: q.retryTaken}
 	if kind == relay.Response && platform.ReadRequestMeta(h).ID == "" {
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -33,6 +34,15 @@
 	return &callerConn{Conn: conn, c: c, reader: bufio.NewReader(conn), timeout: callerTimeout}
 }
 
+// accepts reports whether the first host accepts connections.
+func (h *harness) accepts() bool {
+	conn, err := net.Dial("tcp4", h.settings[0].EntryAddress.String())
+	if err == nil {
+		_ = conn.Close()
+	}
+	return err == nil
+}
+
 // write writes the bytes of a request from first to last. Negative numbers count from the end, as does a last of 0.
 func (conn *callerConn) write(id string, first, last int) {
 	req, err := http.NewRequest(http.MethodGet, "http://quotes.example/holders/1", http.NoBody)
@@ -93,17 +103,10 @@
 				c.Assert(closed, qt.IsFalse)
 			}
 			began := time.Now()
+			conn.write("split", 0, test.part)
 			stopped := make(chan error, 1)
 			go func() { stopped <- h.edges[0].Shutdown(context.Background()) }()
-			time.Sleep(2200 * time.Millisecond) // new connections are accepted until 2.5 s
-			conn.write("split", 0, test.part)
-			h.eventually("connections are refused", func() bool {
-				other, err := net.Dial("tcp4", h.settings[0].EntryAddress.String())
-				if err == nil {
-					_ = other.Close()
-				}
-				return err != nil
-			})
+			h.eventually("connections are refused", func() bool { return !h.accepts() })
 			time.Sleep(50 * time.Millisecond) // the host closes idle connections at the same time
 			conn.write("split", test.part, 0)
 			status, closed := conn.read("split")
@@ -130,14 +133,18 @@
 	}
 	used.write("second", 0, 40)
 	time.Sleep(50 * time.Millisecond) // the host reads the first bytes
-	for range 3 {
+	closed := make(chan error, 1)
+	go func() {
+		_, err := idle.reader.ReadByte()
+		closed <- err
+	}()
+	h.eventually("the idle connection is closed", func() bool {
 		h.edges[0].CloseIdle()
-		time.Sleep(20 * time.Millisecond)
-	}
-	status, _ := idle.read("idle")
-	c.Check(status, qt.Equals, 0)
+		return len(closed) > 0
+	})
+	c.Check(<-closed, qt.Equals, io.EOF)
 	used.write("second", 40, 0)
-	status, _ = used.read("second")
+	status, _ := used.read("second")
 	c.Check(status, qt.Equals, http.StatusOK)
 }
 
@@ -163,14 +170,13 @@
 	defer cancel()
 	stopped := make(chan error, 1)
 	go func() { stopped <- h.edges[0].Shutdown(ctx) }()
-	time.Sleep(2300 * time.Millisecond) // new connections are accepted until 2.5 s
 	conns := make([]*callerConn, len(tests))
 	for i, test := range tests {
 		conns[i] = h.connect(c)
 		conns[i].timeout = test.timeout
 		conns[i].write(test.id, 0, 40)
 	}
-	time.Sleep(400 * time.Millisecond) // until connections are no longer accepted
+	h.eventually("connections are refused", func() bool { return !h.accepts() })
 	for i, test := range tests {
 		conns[i].write(test.id, 40, 0)
 		status, _ := conns[i].read(test.id)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -231,7 +231,7 @@
 }
 
 // Do sends r and reads the response. The deadline and the cancellation of ctx
-// apply until the response is closed.
+// apply until the response is closed. Without them, Do may wait without limit for a target that does not read a long body.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	conn, reused, err := c.pool.TakeIf(ctx, func(idle *conn) bool { return c.reuseIDs || !idle.carried.has(r.ID) })
 	if err != nil {
@@ -271,14 +271,14 @@
 
 // exchange is one request on one connection.
 type exchange struct {
-	client   *Client
-	conn     *conn
-	request  *Request
-	deadline time.Time // zero when there is none
-	reused   bool
-	noReuse  bool        // the connection must be closed after this request
-	longBody bool        // the connection has no UnackedTimeout
-	stop     func() bool // detaches the connection from the request's context; false if the context has ended
+	client           *Client
+	conn             *conn
+	request          *Request
+	deadline         time.Time // zero when there is none
+	reused           bool
+	noReuse          bool        // the connection must be closed after this request
+	noUnackedTimeout bool        // the connection has no platform.UnackedTimeout
+	stop             func() bool // detaches the connection from the request's context; false if the context has ended
 
 	mu         sync.Mutex // guards the fields below while the request body is written
 	writing    bool       // the request body is being written in the background
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -94,15 +94,29 @@
 	x.afterWrite = x.returnToPool
 }
 
-// returnToPool adds the connection to the pool, or closes it after a failed write.
+// unreadBodyPoll is the time between two checks whether a target has read the rest of a long body.
+const unreadBodyPoll = 50 * time.Millisecond
+
+// returnToPool adds the connection to the pool, or closes it after a failed write. If the target responded before it has read
+// a long body, the connection waits until it has, or expires: the next request would wait behind the rest of the body.
 func (x *exchange) returnToPool() {
 	if x.writeErr != nil || x.conn.SetDeadline(time.Time{}) != nil {
 		x.conn.close()
 		return
 	}
-	if x.longBody && platform.SetUnackedTimeout(x.conn.TCPConn, platform.UnackedTimeout) != nil {
-		x.conn.close()
-		return
+	if x.noUnackedTimeout {
+		switch unread := platform.HasUnacknowledged(x.conn.TCPConn); {
+		case unread && time.Now().After(x.conn.expires):
+			x.conn.close()
+			return
+		case unread:
+			time.AfterFunc(unreadBodyPoll, x.returnToPool)
+			return
+		}
+		if platform.SetUnackedTimeout(x.conn.TCPConn, platform.UnackedTimeout) != nil {
+			x.conn.close()
+			return
+		}
 	}
 	x.client.pool.Put(x.conn)
 }
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -31,7 +31,7 @@
 	if err := platform.SetUnackedTimeout(x.conn.TCPConn, 0); err != nil {
 		return eris.Wrapf(ErrNotSent, "%v", err)
 	}
-	x.longBody = true
+	x.noUnackedTimeout = true
 	if n, err := x.conn.Write(head); err != nil && n == 0 {
 		return eris.Wrapf(ErrNotSent, "%v", err)
 	}
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -193,9 +193,12 @@
 		{name: "last sixth", status: 504, ended: 7500, runs: run(10, 8000), stops: stop},
 		{name: "last sixth, sent late", status: 504, ended: 5000, runs: run(10, 8000), stops: lateStop, want: 1},
 	}
+	noLogs, err := os.Open(os.DevNull) // reading a pipe, as os.Stderr may be, does not end
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = noLogs.Close() }()
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			d := &daemon{logs: os.Stderr, storeProxy: &proxy{}}
+			d := &daemon{logs: noLogs, storeProxy: &proxy{}}
 			p := &proxy{}
 			d.stops.list, d.faults.list, d.storeProxy.faults.list, p.faults.list = test.stops, test.daemonFaults, test.storeFaults, test.tgFaults
 			srv, err := standin.StartServer(netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort("127.0.0.1:1"), standin.ServerOptions{Name: "target"})
