--- a/metric/metric.go
+++ b/metric/metric.go
@@ -55,7 +55,7 @@
 	RelayedRequests *prometheus.CounterVec
 	// CutOff is 1 while the host has lost all targets, and 0 otherwise.
 	CutOff *prometheus.GaugeVec
-	// UnhandledRequests counts callers' connections that ended after a request was read and before it was handled.
+	// UnhandledRequests counts connections of callers and other hosts that ended with a request that no handler got.
 	UnhandledRequests *prometheus.CounterVec
 	// Probes counts the connections opened to find out whether the host has lost all targets, by result.
 	Probes *prometheus.CounterVec
