--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -49,8 +49,8 @@
 	Stable = 3 * time.Second
 	// Descriptors is the figure maxFds of a machine.
 	Descriptors = 4100
-	// memoryMB is the figure memoryMb of a machine.
-	memoryMB = 284
+	// MemoryMB is the figure memoryMb of a machine.
+	MemoryMB = 284
 )
 
 // limit ends a case that hangs.
@@ -238,6 +238,8 @@
 	Name  string
 	Entry netip.AddrPort
 	Ready netip.AddrPort
+	// Metrics is the address of the metrics and of the state dump.
+	Metrics netip.AddrPort
 
 	settings string
 	cmd      *exec.Cmd
@@ -282,10 +284,10 @@
 `
 
 func (d *Deployment) startDaemon(name string) {
-	daemon := &Daemon{Name: name, Entry: d.FreeAddress(), Ready: d.FreeAddress(), ended: make(chan struct{})}
+	daemon := &Daemon{Name: name, Entry: d.FreeAddress(), Ready: d.FreeAddress(), Metrics: d.FreeAddress(), ended: make(chan struct{})}
 	daemon.settings = filepath.Join(d.dir, name+".yaml")
-	text := fmt.Sprintf(settings, name, daemon.Entry, daemon.Ready, d.FreeAddress(), d.FreeAddress(), d.Store.Address(), d.FreeAddress(),
-		memoryMB, Drain.Milliseconds(), int(Grace.Seconds()))
+	text := fmt.Sprintf(settings, name, daemon.Entry, daemon.Ready, d.FreeAddress(), daemon.Metrics, d.Store.Address(), d.FreeAddress(),
+		MemoryMB, Drain.Milliseconds(), int(Grace.Seconds()))
 	d.Require("settings", os.WriteFile(daemon.settings, []byte(text), 0o600))
 	logs, err := os.Create(filepath.Join(d.dir, name+".log"))
 	d.Require("log file", err)
