--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -8,7 +8,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
+
+	"github.com/redwingtally/redwingtally/platform"
 )
 
 // HostName is the host of all routes.
@@ -45,12 +48,26 @@
 
 // Head returns the head of the request.
 func (r Request) Head() string {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Redwingtally-Request-Id: %s\r\nX-Redwingtally-Deadline-Ms: %d\r\n",
-		r.Method, r.Path, HostName, r.ID, r.Deadline.Milliseconds())
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Path, HostName)
+	h := http.Header{}
+	platform.SetRequestMeta(h, platform.RequestMeta{ID: r.ID, Timeout: r.Deadline})
+	_ = h.Write(&b) // a strings.Builder returns no error
 	if r.Method != http.MethodGet {
-		head += fmt.Sprintf("Content-Length: %d\r\n", len(r.Body))
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+	}
+	b.WriteString("\r\n")
+	return b.String()
+}
+
+// stamp returns the stamp of an upstream in the headers of an answer, or "" if there is none.
+func stamp(h http.Header) string {
+	signature := http.Header{}
+	platform.CopySignature(signature, h)
+	for _, values := range signature {
+		return strings.Join(values, ",")
 	}
-	return head + "\r\n"
+	return ""
 }
 
 // Send sends the request to a daemon on a new connection and reads the answer.
@@ -82,5 +99,5 @@
 	if err != nil {
 		return Answer{Err: fmt.Errorf("status %d, body: %w", resp.StatusCode, err), Took: time.Since(started)}
 	}
-	return Answer{Status: resp.StatusCode, Stamp: resp.Header.Get("X-Redwingtally-Server-Stamp"), Body: string(body), Header: resp.Header, Took: time.Since(started)}
+	return Answer{Status: resp.StatusCode, Stamp: stamp(resp.Header), Body: string(body), Header: resp.Header, Took: time.Since(started)}
 }
