--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -242,6 +242,7 @@
 	Metrics netip.AddrPort
 
 	settings string
+	text     string // of the settings, without first_start
 	cmd      *exec.Cmd
 	ended    chan struct{}
 }
@@ -279,7 +280,6 @@
 retry_window: 10s
 retry_ratio: 0.2
 retry_extra: 56
-first_start: true
 `
 
 func (d *Deployment) startDaemon(name string) {
@@ -287,17 +287,34 @@
 	daemon.settings = filepath.Join(d.dir, name+".yaml")
 	text := fmt.Sprintf(settings, name, daemon.Entry, daemon.Ready, d.FreeAddress(), daemon.Metrics, d.Store.Address(), d.FreeAddress(),
 		MemoryMB, Drain.Milliseconds(), int(Grace.Seconds()))
+	daemon.text = text
+	d.Daemons = append(d.Daemons, daemon)
+	d.run(daemon, text+"first_start: true\n")
+	d.atEnd(func() { daemon.Signal(syscall.SIGCONT); daemon.Signal(syscall.SIGKILL); <-daemon.ended })
+}
+
+// Restart starts a daemon again that has ended, and waits until it is ready.
+func (d *Deployment) Restart(daemon *Daemon) {
+	<-daemon.ended
+	time.Sleep(time.Second)
+	daemon.ended = make(chan struct{})
+	d.run(daemon, daemon.text)
+	d.Eventually(daemon.Name+" is ready again", daemon.IsReady)
+	d.Logf("%s is ready again", daemon.Name)
+}
+
+// run starts the process of a daemon with the given settings.
+func (d *Deployment) run(daemon *Daemon, text string) {
 	d.Require("settings", os.WriteFile(daemon.settings, []byte(text), 0o600))
-	logs, err := os.Create(filepath.Join(d.dir, name+".log"))
+	logs, err := os.OpenFile(filepath.Join(d.dir, daemon.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	d.Require("log file", err)
 	defer func() { _ = logs.Close() }()
 	// The shell only bounds the descriptors, as on a machine of the deployment, and becomes the daemon. Where fewer are allowed, the bound stays.
 	daemon.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s --settings %s", Descriptors, program, daemon.settings))
 	daemon.cmd.Stdout, daemon.cmd.Stderr = logs, logs
 	d.Require("daemon", daemon.cmd.Start())
-	d.Daemons = append(d.Daemons, daemon)
-	go func() { _ = daemon.cmd.Wait(); close(daemon.ended) }()
-	d.atEnd(func() { daemon.Signal(syscall.SIGCONT); daemon.Signal(syscall.SIGKILL); <-daemon.ended })
+	cmd, ended := daemon.cmd, daemon.ended
+	go func() { _ = cmd.Wait(); close(ended) }()
 }
 
 // Signal sends a signal to the daemon.
