Tests of headers, trailers, stopped bodies and backlogs of untrusted callers

Callers saw: a host over its memory, no answer to an ordinary request, or no connection at all, while other callers sent long headers, trailers, bodies that stop, or requests ahead.

The crowds and the bounds are fixed here, before the product changes.

--- a/soak/untrusted/host_test.go
+++ b/soak/untrusted/host_test.go
@@ -30,8 +30,14 @@
 	memoryMB = 64
 	// maxBodyBytes is the limit on bodies in the configuration.
 	maxBodyBytes = 8 << 20
+	// maxHeaderBytes is the limit on headers in the configuration.
+	maxHeaderBytes = 16 << 10
 	// maxDescriptors bounds the open descriptors of the daemon.
 	maxDescriptors = 512
+	// connectionsPerMB are the connections that a daemon serves at most by its memory, and ownDescriptors all others that it
+	// has open while more callers connect.
+	connectionsPerMB = 8
+	ownDescriptors   = 64
 	// routeTimeout is the time for which requests may wait. The crowd's requests last for the whole of a test.
 	routeTimeout = 60 * time.Second
 	// hangTimeout is the time after which a test counts as hanging.
@@ -52,6 +58,8 @@
 type host struct {
 	t      *testing.T
 	entry  netip.AddrPort
+	memory int // of the daemon in megabytes
+	bound  int // of the open descriptors
 	logs   string
 	cmd    *exec.Cmd
 	exited chan struct{}
@@ -65,6 +73,10 @@
 	timeout time.Duration
 	// respond makes the crowd's target respond with a stream of so many bytes.
 	respond int
+	// memory is that of the daemon in megabytes; 0 means memoryMB.
+	memory int
+	// full is set if more callers connect than the daemon serves.
+	full bool
 }
 
 // startHost starts a host.
@@ -76,7 +88,10 @@
 		defer cancel()
 		_ = p.Stop(ctx)
 	})
-	h := &host{t: t, entry: ports.Free(t), exited: make(chan struct{})}
+	h := &host{t: t, entry: ports.Free(t), memory: cmp.Or(o.memory, memoryMB), bound: maxDescriptors, exited: make(chan struct{})}
+	if o.full {
+		h.bound = h.memory*connectionsPerMB + ownDescriptors
+	}
 	startTarget(t, p, ordinaryService, manySlots)
 	if o.respond > 0 {
 		startStreamingTarget(t, p, o.respond)
@@ -87,7 +102,7 @@
 	dir := t.ArtifactDir()
 	settings, logs := filepath.Join(dir, "host.yaml"), filepath.Join(dir, "host.log")
 	text := fmt.Sprintf("host: host-0\ndata_centre: leicester\nentry_address: %s\nready_address: %s\ncontrol_address: %s\nmetrics_address: %s\nstore_address: %s\nmemory_mb: %d\n",
-		h.entry, ports.Free(t), ports.Free(t), ports.Free(t), p.Address(), memoryMB)
+		h.entry, ports.Free(t), ports.Free(t), ports.Free(t), p.Address(), h.memory)
 	qt.Assert(t, os.WriteFile(settings, []byte(text), 0o600), qt.IsNil)
 	file, err := os.Create(logs)
 	qt.Assert(t, err, qt.IsNil)
@@ -160,7 +175,7 @@
 	value, err := platform.EncodeConfiguration(&platform.Configuration{
 		Version: 1, Routes: []platform.Route{route(crowdService, crowdPath), route(ordinaryService, ordinaryPath)},
 		Services: []platform.Service{service(crowdService), service(ordinaryService)},
-		Limits:   platform.Limits{HeaderBytes: 16 << 10, BodyBytes: maxBodyBytes, HeaderTimeout: 30 * time.Second, IdleTimeout: 30 * time.Second},
+		Limits:   platform.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, HeaderTimeout: 30 * time.Second, IdleTimeout: 30 * time.Second},
 	})
 	qt.Assert(t, err, qt.IsNil)
 	_, err = platform.NewClient(p.Address()).Put(context.Background(), platform.KindConfiguration, platform.NameConfiguration, value, platform.Unconditional())
@@ -204,16 +219,16 @@
 		c.Fatalf("process has exited: %s", h.logTail())
 	default:
 	}
-	now, peak := h.memory("VmRSS"), h.memory("VmHWM")
+	now, peak := h.status("VmRSS"), h.status("VmHWM")
 	descriptors = max(descriptors, h.descriptors())
 	h.t.Logf("VmRSS %d kB, VmHWM %d kB, %d descriptors", now, peak, descriptors)
-	c.Check(now > 0 && now <= memoryMB<<10, qt.IsTrue, qt.Commentf("VmRSS is %d kB", now))
-	c.Check(peak > 0 && peak <= memoryMB<<10, qt.IsTrue, qt.Commentf("VmHWM is %d kB", peak))
-	c.Check(descriptors > 0 && descriptors <= maxDescriptors, qt.IsTrue, qt.Commentf("%d descriptors are open", descriptors))
+	c.Check(now > 0 && now <= h.memory<<10, qt.IsTrue, qt.Commentf("VmRSS is %d kB", now))
+	c.Check(peak > 0 && peak <= h.memory<<10, qt.IsTrue, qt.Commentf("VmHWM is %d kB", peak))
+	c.Check(descriptors > 0 && descriptors <= h.bound, qt.IsTrue, qt.Commentf("%d descriptors are open", descriptors))
 }
 
-// memory returns a size of the process's status in kilobytes, or 0.
-func (h *host) memory(field string) int {
+// status returns a size of the process's status in kilobytes, or 0.
+func (h *host) status(field string) int {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
 	qt.Assert(h.t, err, qt.IsNil)
 	_, rest, _ := strings.Cut(string(text), field+":")
