Close a connection with an incomplete header without locking its mutex twice

Callers saw: a host that had reached its bound on connections while a header was incomplete took no connection any more, for good, and said that it was ready.

Cause: trackedConn.evict holds the connection's mutex and called its SetReadDeadline, which locks it for a deadline in the past. The goroutine that accepts connections never came back.

Change: the deadline is set on the TCP connection itself, as for idle connections. Nothing waits for a notification then: the connection is blocked in a read of its header.

--- a/edge/connbound.go
+++ b/edge/connbound.go
@@ -153,6 +153,6 @@
 		c.end()
 	case c.awaitsRequest():
 		c.evicted = true
-		_ = c.SetReadDeadline(expired) // fails only on a closed connection
+		_ = c.TCPConn.SetReadDeadline(expired) // fails only on a closed connection
 	}
 }
