Apply the configured limits on headers

Callers saw: headers of up to 64 kB were accepted, and incomplete ones for 10 s, whatever maxHeaderBytes and headerTimeoutMs of the configuration said; a limit above these was not granted either.

Cause: both were constants of the http.Server.

Change: connServer counts the bytes of each head before net/http gets them, answers 431 beyond the limit, and sets the deadline for the rest of a head from the configuration in force. Connections that have sent nothing are closed after the idle timeout. An incomplete head is no longer reported as a request that was not handled. Metric headers_refused_total, a line of log a second at most.

TestConfiguredHeaderLimits failed before (3 of 6 cases) and passes; the whole package edge passes without the race detector.

--- a/edge/connserver.go
+++ b/edge/connserver.go
@@ -48,6 +48,10 @@
 	aheadRequests atomic.Int64
 	aheadBytes    atomic.Int64
 	bound         connBound
+
+	headerLimits      func() headerLimits // set before serve; nil means no limits besides those of server
+	refusedHeads      int                 // since the last log line
+	refusedHeadLogged time.Time
 }
 
 // newConnServer returns a server that serves connections of ln with server's settings.
@@ -89,6 +93,9 @@
 	handled   bool      // a handler was called for the last request
 	readAt    time.Time // when the header of the last request was read
 
+	inHead bool        // the bytes that are passed on belong to a head; the goroutine that serves the connection uses it
+	head   headScanner // of that head
+
 	splitter
 	held           []byte        // bytes that were read and not passed on; only the goroutine that reads changes them
 	pipe           *pipeline     // nil until a request was passed on ahead
@@ -101,6 +108,7 @@
 	aborted        atomic.Bool   // net/http has ended the read
 	receivingSince time.Time     // when the first bytes of the next request were read; valid while receiving
 	evicted        bool          // the connection is closed for another one
+	refused        bool          // the header of the last request was refused
 }
 
 // connContextKey is the context key of the trackedConn of a request.
@@ -120,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &trackedConn{TCPConn: conn.(*net.TCPConn), server: l.server, accepted: time.Now()}
+	c := &trackedConn{TCPConn: conn.(*net.TCPConn), server: l.server, accepted: time.Now(), inHead: true}
 	if l.server.limits.requests > 0 {
 		c.mode, c.changed = modeStart, make(chan struct{}, 1)
 	}
@@ -176,9 +184,18 @@
 // begins with the fourth. The caller holds c.mu.
 func (c *trackedConn) received() {
 	if c.awaitsRequest() && (!c.receiving || c.ending) {
-		_ = c.SetReadDeadline(time.Now().Add(c.server.server.ReadHeaderTimeout)) // fails only on a closed connection; the next read reports it
 		c.receiving, c.receivingSince, c.ending = true, time.Now(), false
+		_ = c.TCPConn.SetReadDeadline(c.headDeadline()) // fails only on a closed connection; the next read reports it
+	}
+}
+
+// headDeadline returns when the header that is being received has to be complete. The caller holds c.mu.
+func (c *trackedConn) headDeadline() time.Time {
+	timeout := c.server.server.ReadHeaderTimeout
+	if c.server.headerLimits != nil {
+		timeout = c.server.headerLimits().timeout
 	}
+	return c.receivingSince.Add(timeout)
 }
 
 // trackState records since when a connection is idle. The server reports the
@@ -194,6 +211,7 @@
 	switch state {
 	case http.StateIdle:
 		c.receiving = false
+		c.inHead, c.head = true, headScanner{}
 		c.finish()
 		if c.ahead() > 0 {
 			c.advance() // sets idleSince when all are answered
@@ -205,13 +223,14 @@
 			c.ending, c.evicted = false, false
 			_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection; the next read reports it
 		}
-		c.idleSince, c.used = time.Time{}, true
+		c.idleSince, c.used, c.inHead = time.Time{}, true, false
 		c.readAt, c.handled, c.answered, c.unfinished = time.Now(), false, false, false
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
-		if c.used && !c.handled && !c.answered && !c.left {
+		whole := c.head.ended || c.head.bytes == 0 // net/http may have read it with the request before
+		if c.used && whole && !c.handled && !c.answered && !c.left && !c.refused {
 			c.reportUnhandled(c.readAt)
 		}
 	}
--- a/edge/connserver_test.go
+++ b/edge/connserver_test.go
@@ -21,7 +21,7 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = ln.Close() })
-	s := newConnServer("test", ln, &http.Server{ReadHeaderTimeout: headerTimeout}, slog.New(slog.DiscardHandler), metric.New())
+	s := newConnServer("test", ln, &http.Server{ReadHeaderTimeout: defaultHeaderTimeout}, slog.New(slog.DiscardHandler), metric.New())
 	peer, err := net.Dial("tcp4", ln.Addr().String())
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = peer.Close() })
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// maxHeaderBytes bounds the size of a request header. Configured limits are smaller.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout bounds the time from the first byte of a request to the end of its header.
-	headerTimeout = 10 * time.Second
 	// minIdleTimeout is a lower bound on the configured idle timeout of callers' connections.
 	minIdleTimeout = 5 * time.Second
 	// idleSweepInterval is the time between two sweeps of idle connections.
@@ -29,10 +25,11 @@
 	}
 	e.entryServer = newConnServer("entry", ln, &http.Server{
 		Handler:           e,
-		ReadHeaderTimeout: headerTimeout,
+		ReadHeaderTimeout: maxHeaderTimeout, // connServer applies the configured limits
 		MaxHeaderBytes:    maxHeaderBytes,
 	}, e.log, e.metrics)
 	e.entryServer.limits, e.entryServer.stopping = defaultAhead, e.draining.Load
+	e.entryServer.headerLimits = e.headerLimits
 	e.entryServer.bound.limit = maxCallerConns(e.settings, descriptorLimit())
 	go e.entryServer.serve()
 	go e.sweepIdle(ctx)
@@ -48,7 +45,9 @@
 		if table == nil || table.Configuration.Limits.IdleTimeout <= 0 {
 			continue
 		}
-		e.entryServer.endIdle(max(minIdleTimeout, table.Configuration.Limits.IdleTimeout))
+		timeout := max(minIdleTimeout, table.Configuration.Limits.IdleTimeout)
+		e.entryServer.endIdle(timeout)
+		e.entryServer.endUnused(timeout)
 	}
 }
 
--- a/edge/pipeline.go
+++ b/edge/pipeline.go
@@ -62,7 +62,7 @@
 	switch {
 	case f == incomplete && len(c.held) < maxAheadHead:
 		return 0, blockedRead
-	case f != bodyless || !isPlainHead(c.held[:head]) || !c.server.reserveRequest(c.pipe, int64(head)):
+	case f != bodyless || !c.server.acceptsHead(int64(head)) || !isPlainHead(c.held[:head]) || !c.server.reserveRequest(c.pipe, int64(head)):
 		return 0, blockedChange
 	}
 	return head, notBlocked
@@ -177,7 +177,7 @@
 // Close lets the caller receive the last response if requests behind it were read or may be under way.
 func (c *trackedConn) Close() error {
 	c.mu.Lock()
-	linger := !c.left && (c.pipe != nil || len(c.held) > 0)
+	linger := !c.left && (c.pipe != nil || len(c.held) > 0 || c.refused)
 	c.fail()
 	c.mu.Unlock()
 	if linger && c.CloseWrite() == nil {
--- a/edge/pipeline_test.go
+++ b/edge/pipeline_test.go
@@ -40,7 +40,7 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	s := &pipelineServer{c: c, gates: map[string]chan struct{}{}}
-	s.connServer = newConnServer("test", ln, &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes},
+	s.connServer = newConnServer("test", ln, &http.Server{Handler: s, ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: defaultHeaderBytes},
 		slog.New(slog.DiscardHandler), metric.New())
 	s.limits, s.stopping = limits, s.stopped.Load
 	for _, f := range change {
--- a/edge/pipelineread.go
+++ b/edge/pipelineread.go
@@ -116,6 +116,13 @@
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	past := hasPassed(t)
 	c.aborted.Store(past)
+	if !past && !t.IsZero() {
+		c.mu.Lock()
+		if c.receiving && c.awaitsRequest() {
+			t = c.headDeadline() // in place of ReadHeaderTimeout
+		}
+		c.mu.Unlock()
+	}
 	err := c.TCPConn.SetReadDeadline(t)
 	if past {
 		c.mu.Lock()
@@ -156,7 +163,11 @@
 			return 0, err
 		}
 	}
-	return c.readSome(p)
+	n, err := c.readSome(p)
+	if n > 0 && !c.acceptHead(p[:n]) {
+		return 0, os.ErrDeadlineExceeded // net/http answers other errors
+	}
+	return n, err
 }
 
 // readSome reads held bytes, or else from the caller. It returns those of the current request and holds the others.
--- a/edge/relayserver.go
+++ b/edge/relayserver.go
@@ -60,14 +60,21 @@
 	}
 	e.relayServer = &relayServer{connServer: newConnServer("relay", ln, &http.Server{
 		Handler:           http.HandlerFunc(e.serveRelayed),
-		ReadHeaderTimeout: headerTimeout,
+		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       relayIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes + relayHeaderBytes,
 	}, e.log, e.metrics), maxBytes: min(maxRelayedBytes, e.bodies.total/relayedBodyShare)}
+	e.relayServer.headerLimits = e.relayedHeaderLimits
 	go e.relayServer.serve()
 	return nil
 }
 
+// relayedHeaderLimits returns the limits on headers of requests that other hosts pass on. The senders have applied the configured
+// ones.
+func (e *Edge) relayedHeaderLimits() headerLimits {
+	return headerLimits{maxHeaderBytes + relayHeaderBytes, defaultHeaderTimeout}
+}
+
 // drainRelay accepts connections for acceptAfterShutdown, and refuses requests on them so that
 // their senders turn to other relays. It returns when no relayed request is in progress
 // or ctx ends.
--- a/edge/untrusted_test.go
+++ b/edge/untrusted_test.go
@@ -1,9 +1,12 @@
 package edge_test
 
 import (
+	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -55,3 +58,61 @@
 		})
 	}
 }
+
+// Limits of the configuration on headers were not applied: callers got 64 kB and 10 s.
+func TestConfiguredHeaderLimits(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(t, 1)
+	h.handlerTarget("a", "stock", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "stock") })
+	h.configure([]platform.Route{route("stock", "/holders/", platform.Idempotent)}, plain("stock"))
+	h.waitServing(0, "/holders/1")
+	const (
+		limit    = 16 << 10 // of the harness's configuration, as is a timeout of 3 s
+		hangTime = 8 * time.Second
+	)
+	head := func(size int) string {
+		header := http.Header{}
+		platform.SetRequestMeta(header, platform.RequestMeta{ID: "limits", Timeout: callerTimeout})
+		var b strings.Builder
+		b.WriteString("GET /holders/1 HTTP/1.1\r\nHost: quotes.example\r\n")
+		c.Assert(header.Write(&b), qt.IsNil)
+		b.WriteString("a: ")
+		return b.String() + strings.Repeat("x", size-b.Len()-len("\r\n\r\n")) + "\r\n\r\n"
+	}
+	tests := []struct {
+		name string
+		text string
+		want int // status of the last response; 0 if the connection is closed without one
+	}{
+		{"largest", head(limit), http.StatusOK},
+		{"too large", head(limit + 1), http.StatusRequestHeaderFieldsTooLarge},
+		{"far too large and without an end", strings.TrimSpace(head(4 * limit)), http.StatusRequestHeaderFieldsTooLarge},
+		{"too large behind another", head(1000) + head(limit+1), http.StatusRequestHeaderFieldsTooLarge},
+		{"incomplete", strings.TrimSpace(head(1000)), 0},
+		{"incomplete behind another", head(1000) + strings.TrimSpace(head(1000)), 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			conn, err := net.Dial("tcp4", h.settings[0].EntryAddress.String())
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			c.Assert(conn.SetDeadline(time.Now().Add(hangTime)), qt.IsNil)
+			_, err = io.WriteString(conn, test.text)
+			c.Assert(err, qt.IsNil)
+			status, reader := 0, bufio.NewReader(conn)
+			for range max(1, strings.Count(test.text, "GET ")) {
+				resp, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					c.Check(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse, qt.Commentf("the connection is still open"))
+					status = 0
+					break
+				}
+				_, err = io.Copy(io.Discard, resp.Body)
+				c.Assert(err, qt.IsNil)
+				status = resp.StatusCode
+			}
+			c.Check(status, qt.Equals, test.want)
+		})
+	}
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -70,6 +70,8 @@
 	ResponseBytes *prometheus.GaugeVec
 	// BodiesRefused counts bodies that were refused for lack of memory, by reason.
 	BodiesRefused *prometheus.CounterVec
+	// HeadersRefused counts requests whose headers exceeded a limit, by reason.
+	HeadersRefused *prometheus.CounterVec
 	// ConnectionsEnded counts callers' connections that were closed because of the bound on connections, by what they did.
 	ConnectionsEnded *prometheus.CounterVec
 	// Refusals counts the requests that were refused and have not run, by service, route and reason.
@@ -115,6 +117,7 @@
 		BodyBytes:         gauge("body_bytes", "Bytes reserved for bodies of callers."),
 		ResponseBytes:     gauge("response_bytes", "Bytes reserved for responses."),
 		BodiesRefused:     counter("bodies_refused_total", "Bodies refused for lack of memory.", "reason"),
+		HeadersRefused:    counter("headers_refused_total", "Requests whose headers exceeded a limit.", "reason"),
 		ConnectionsEnded:  counter("connections_ended_total", "Connections closed because of the bound on connections.", "reason"),
 		Refusals:          counter("refusals_total", "Requests that were refused and have not run, by route and reason.", "service", "route", "reason"),
 		Probes:            counter("probes_total", "Connection attempts that look for a path to targets.", "result"),
@@ -129,7 +132,7 @@
 		s.LimitedAttempts, s.CompletionRatio, s.RelayedRequests, s.CutOff, s.Probes, s.UnhandledRequests,
 		s.RequestsAhead,
 		s.EvacuatedDataCentres, s.EvacuationsIgnored,
-		s.BodyBytes, s.ResponseBytes, s.BodiesRefused, s.ConnectionsEnded,
+		s.BodyBytes, s.ResponseBytes, s.BodiesRefused, s.HeadersRefused, s.ConnectionsEnded,
 		s.PacedTargets,
 		s.Refusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
