Count callers' headers against the memory for their requests

Callers saw: a host that was killed for its memory, with all requests in progress, after 2,000 requests whose headers of legal size had short lines and whose bodies stopped.

Cause: only bodies were counted. A header line takes some 100 bytes when parsed and as much again in the copy for a target, so that 16 kB of them take 300 kB and more.

Change: a request is counted from the first byte of its header on. connServer counts bytes and lines and reserves memory before net/http gets them; what net/http has read with the request before is counted by the handler. Headers and bodies share one budget, of which requests of up to 16 kB have a part of their own. When it is short, a header or body that has stalled is refused with 408, and one that gets no memory with 503; neither has run. memory.go divides the memory of the process: connections, small and large requests and responses have shares whose sum is below the soft limit of the Go runtime (TestMemoryPlan). A request that can never fit is refused at once. bodies_refused_total and body_bytes are called requests_refused_total and request_bytes now.

--- a/edge/body.go
+++ b/edge/body.go
@@ -40,8 +40,9 @@
 	rest   io.Reader // the bytes after them; nil if the whole body is buffered
 	length int64
 
-	buffered int64     // number of buffered bytes
-	held     *heldBody // their memory; nil if there is no body
+	buffered int64        // number of buffered bytes
+	held     *heldRequest // the memory of the request
+	header   int64        // the part of it for the header
 }
 
 // bufferedBytes returns how many bytes of the body readBody buffers at most.
@@ -52,17 +53,10 @@
 	return r.ContentLength
 }
 
-// close gives the memory of the body back.
-func (b *body) close() {
-	if b.held != nil {
-		b.held.close()
-	}
-}
-
-// readBody buffers up to maxBufferedBody bytes of the caller's body in memory of the budget. The bytes
-// must arrive by the deadline. A limit of zero allows any length. The body has to be closed, also after an error.
-func readBody(w http.ResponseWriter, r *http.Request, budget *bodyBudget, limit int64, deadline time.Time) (body, error) {
-	b := body{length: r.ContentLength}
+// readBody buffers up to maxBufferedBody bytes of the caller's body in memory of its request. The bytes
+// must arrive by the deadline. A limit of zero allows any length.
+func readBody(w http.ResponseWriter, r *http.Request, memory *heldRequest, limit int64, deadline time.Time) (body, error) {
+	b := body{length: r.ContentLength, held: memory, header: memory.memory()}
 	if r.Body == nil || r.Body == http.NoBody {
 		b.length = 0
 		return b, nil
@@ -72,7 +66,7 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline) // on failure a slow caller blocks only its own connection
-	b.held = budget.open(func() { _ = control.SetReadDeadline(expired) })
+	b.held.receive(func() { _ = control.SetReadDeadline(expired) })
 	source := io.Reader(r.Body)
 	if limit > 0 {
 		source = http.MaxBytesReader(w, r.Body, limit)
@@ -161,7 +155,7 @@
 // drop gives the buffered bytes of a streamed body back, which have been sent.
 func (b *body) drop() {
 	b.head, b.more = nil, nil
-	b.held.shrinkTo(streamBuffer)
+	b.held.shrinkTo(b.header + streamBuffer)
 }
 
 // streamedRest is the rest of a streamed body. It calls ended when all was read.
--- a/edge/body_test.go
+++ b/edge/body_test.go
@@ -18,11 +18,12 @@
 
 // startReader starts a server that reads bodies of up to a limit and passes the results on.
 func startReader(t *testing.T, limit int64) (*httptest.Server, <-chan readResult) {
-	budget := newBodyBudget(8<<20, slog.New(slog.DiscardHandler), metric.New())
+	budget := newRequestBudget(8<<20, 6<<20, slog.New(slog.DiscardHandler), metric.New())
 	results := make(chan readResult, 1)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		b, err := readBody(w, r, budget, limit, time.Now().Add(5*time.Second))
-		defer b.close()
+		memory := budget.open(func() {})
+		defer memory.close()
+		b, err := readBody(w, r, memory, limit, time.Now().Add(5*time.Second))
 		result := readResult{b.length, b.rest != nil, nil, err}
 		if err == nil {
 			parts := []io.Reader{bytes.NewReader(b.head)}
--- a/edge/connbound.go
+++ b/edge/connbound.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// connsPerMB is the default bound on callers' connections per megabyte of memory. A connection takes about 30 kB, so that
-	// all of them take a quarter of the memory. A host of 144 MB may have to take the callers of others that were lost.
-	connsPerMB = 8
+	// connMemory is what a connection takes without its request: buffers, stacks and the kernel's structures that the process
+	// accounts for.
+	connMemory = 32 << 10
 	// callerDescriptors is the part of the process's descriptors for callers. The others are for targets, hosts and the store.
 	callerDescriptors = 2
 	// minConnIdle is how long a connection must have been idle before it is closed for another one. The first request of a new
@@ -28,7 +28,7 @@
 	if s.MaxConnections > 0 {
 		return s.MaxConnections
 	}
-	return max(1, int(min(uint64(s.MemoryMB)*connsPerMB, descriptors/callerDescriptors)))
+	return max(1, int(min(uint64(planMemory(s).conns/connMemory), descriptors/callerDescriptors)))
 }
 
 // descriptorLimit returns the number of descriptors that the process may open.
@@ -146,6 +146,13 @@
 // evict closes a connection that has been idle, unless bytes have arrived just now, or one whose header is incomplete.
 // No handler has got a request of it.
 func (c *trackedConn) evict(seen connActivity) {
+	if memory := c.beginEviction(seen); memory != nil {
+		memory.abandon() // without c.mu, as the budget may interrupt reads
+	}
+}
+
+// beginEviction ends the read of a connection. It returns the memory for which the connection may be waiting instead, or nil.
+func (c *trackedConn) beginEviction(seen connActivity) *heldRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -154,5 +161,7 @@
 	case c.awaitsRequest():
 		c.evicted = true
 		_ = c.TCPConn.SetReadDeadline(expired) // fails only on a closed connection
+		return c.memory
 	}
+	return nil
 }
--- a/edge/connserver.go
+++ b/edge/connserver.go
@@ -50,6 +50,7 @@
 	bound         connBound
 
 	headerLimits      func() headerLimits // set before serve; nil means no limits besides those of server
+	requests          *requestBudget      // set before serve; nil means no limit
 	refusedHeads      int                 // since the last log line
 	refusedHeadLogged time.Time
 }
@@ -93,8 +94,9 @@
 	handled   bool      // a handler was called for the last request
 	readAt    time.Time // when the header of the last request was read
 
-	inHead bool        // the bytes that are passed on belong to a head; the goroutine that serves the connection uses it
-	head   headScanner // of that head
+	inHead bool         // the bytes that are passed on belong to a head; the goroutine that serves the connection uses it
+	head   headScanner  // of that head
+	memory *heldRequest // of the request in progress; nil if nothing is reserved. That goroutine changes it and holds mu
 
 	splitter
 	held           []byte        // bytes that were read and not passed on; only the goroutine that reads changes them
@@ -206,6 +208,7 @@
 		return
 	}
 	c := conn.(*trackedConn)
+	c.trackMemory(state)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -85,7 +85,7 @@
 	path            *pathToTargets       // whether this host is cut off from the targets
 	ownPermits      *ratelimit.Allocator // used by getPermits while no coordinator gives out permits
 	relays          *relayPool           // other hosts that take requests while this one is cut off
-	bodies          *bodyBudget          // memory of callers' bodies
+	requests        *requestBudget       // memory of callers' requests
 	responses       *responseBudget      // memory of responses
 	relayServer     *relayServer         // nil if this host takes no requests from other hosts
 	initialised     chan struct{}        // closed once the configuration and the targets have been received
@@ -132,8 +132,9 @@
 		initialised:   make(chan struct{}),
 		stop:          stopSchedule{ending: make(chan struct{})},
 	}
-	e.bodies = newBodyBudget(bodyMemory(s), e.log, e.metrics)
-	e.responses = newResponseBudget(responseMemory(s), e.metrics)
+	plan := planMemory(s)
+	e.requests = newRequestBudget(plan.requests, plan.largeRequests, e.log, e.metrics)
+	e.responses = newResponseBudget(plan.responses, e.metrics)
 	e.relays = newRelayPool(e)
 	e.store.Store(e.newStoreClient(s.StoreAddress))
 	e.member = coordination.New(coordination.Options{
@@ -207,7 +208,7 @@
 		return eris.Wrapf(ErrStart, "%v", err)
 	}
 	e.log.Info("edge: Started.", "entry", e.settings.EntryAddress.String(), "store", e.settings.StoreAddress.String(),
-		"data_centre", e.settings.DataCentre, "memory_mb", e.settings.MemoryMB)
+		"data_centre", e.settings.DataCentre, "memory_mb", e.settings.MemoryMB, "callers_mb", planMemory(e.settings).sum()>>20)
 	return nil
 }
 
--- a/edge/entry.go
+++ b/edge/entry.go
@@ -29,7 +29,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}, e.log, e.metrics)
 	e.entryServer.limits, e.entryServer.stopping = defaultAhead, e.draining.Load
-	e.entryServer.headerLimits = e.headerLimits
+	e.entryServer.headerLimits, e.entryServer.requests = e.headerLimits, e.requests
 	e.entryServer.bound.limit = maxCallerConns(e.settings, descriptorLimit())
 	go e.entryServer.serve()
 	go e.sweepIdle(ctx)
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -59,6 +59,7 @@
 	retryTaken   bool               // a retry was taken from the budget of a host, and the request has not been sent since
 	possibleRuns int                // attempts that a target may have run
 	queueTime    time.Duration      // time from the arrival at the scheduler to the first attempt
+	endMemory    func()             // ends the use of the request's memory
 	fallback     *exchange.Response // 5xx response of the last retried attempt, sent if the retries yield no response to pass on
 	outcome      string
 	err          error
@@ -173,7 +174,13 @@
 	if table := q.edge.table.Load(); table != nil {
 		limit = table.Configuration.Limits.BodyBytes
 	}
-	b, err := readBody(q.w, q.r, q.edge.bodies, limit, q.deadline)
+	memory, end, err := q.edge.requests.requestMemory(q.r)
+	q.endMemory = end
+	if err != nil {
+		q.rejectHeader(err)
+		return false
+	}
+	b, err := readBody(q.w, q.r, memory, limit, q.deadline)
 	q.body = b
 	if err != nil {
 		q.rejectBody(err)
@@ -184,6 +191,17 @@
 	return true
 }
 
+// rejectHeader rejects a request for whose header there is no memory.
+func (q *request) rejectHeader(err error) {
+	q.err = err
+	q.w.Header().Set("Connection", "close")
+	if errors.Is(err, errStalled) {
+		q.reject(http.StatusRequestTimeout, "header_stalled", 0)
+		return
+	}
+	q.reject(http.StatusServiceUnavailable, "header_memory", rejectedRetryAfter)
+}
+
 // rejectBody rejects a request whose body was not received. Nothing of it was passed on.
 func (q *request) rejectBody(err error) {
 	q.err = err
@@ -191,10 +209,10 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		q.reject(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-	case errors.Is(err, errBodyStalled):
+	case errors.Is(err, errStalled):
 		q.w.Header().Set("Connection", "close")
 		q.reject(http.StatusRequestTimeout, "body_stalled", 0)
-	case errors.Is(err, errNoBodyMemory):
+	case errors.Is(err, errNoMemory):
 		q.w.Header().Set("Connection", "close")
 		q.reject(http.StatusServiceUnavailable, "body_memory", rejectedRetryAfter)
 	default:
@@ -204,7 +222,9 @@
 
 // free gives the memory of the request's body and of a response that was not sent back.
 func (q *request) free() {
-	q.body.close()
+	if q.endMemory != nil {
+		q.endMemory()
+	}
 	if q.fallback != nil {
 		q.fallback.Close()
 	}
--- a/edge/memory.go
+++ b/edge/memory.go
@@ -10,23 +10,43 @@
 	"github.com/redwingtally/redwingtally/settings"
 )
 
-// Parts of the process's memory. The remainder is for the program itself, the connections and what the garbage collector
-// has not freed yet.
+// Shares of the process's memory for what a host holds for callers, in parts of 32. Each has its own, so that none takes the
+// room of another. The remainder is for the program itself and for what the garbage collector has not freed yet.
 const (
-	bodyMemoryShare     = 4
-	responseMemoryShare = 8
+	memoryParts = 32
+	// connShare is for connections; the bound on their number follows from it.
+	connShare = 8
+	// smallRequestShare is for small requests: one on each connection.
+	smallRequestShare = 4
+	// largeRequestShare is for the other requests.
+	largeRequestShare = 5
+	responseShare     = 3
 )
 
-// bodyMemory returns the bytes of bodies that a host holds.
-func bodyMemory(s settings.Edge) int64 {
+// memoryPlan divides the memory of a process. All sizes are in bytes.
+type memoryPlan struct {
+	conns         int64
+	requests      int64 // headers and bodies
+	largeRequests int64 // the part of requests that large ones may use
+	responses     int64
+}
+
+// planMemory returns the plan for a process with the given settings.
+func planMemory(s settings.Edge) memoryPlan {
+	part := int64(s.MemoryMB) << 20 / memoryParts
+	p := memoryPlan{
+		conns: connShare * part, requests: (smallRequestShare + largeRequestShare) * part, largeRequests: largeRequestShare * part,
+		responses: responseShare * part,
+	}
 	if s.BodyMemoryMB > 0 {
-		return int64(s.BodyMemoryMB) << 20
+		p.requests = int64(s.BodyMemoryMB) << 20
+		p.largeRequests = p.requests * largeRequestShare / (smallRequestShare + largeRequestShare)
 	}
-	return int64(s.MemoryMB) << 20 / bodyMemoryShare
+	return p
 }
 
-// responseMemory returns the bytes of responses that a host holds.
-func responseMemory(s settings.Edge) int64 { return int64(s.MemoryMB) << 20 / responseMemoryShare }
+// sum returns the bytes of all shares.
+func (p memoryPlan) sum() int64 { return p.conns + p.requests + p.responses }
 
 // A responseBudget bounds the bytes of responses that are in memory. A response that gets no memory is passed on as it
 // arrives.
--- a/edge/pipelineread.go
+++ b/edge/pipelineread.go
@@ -164,8 +164,11 @@
 		}
 	}
 	n, err := c.readSome(p)
-	if n > 0 && !c.acceptHead(p[:n]) {
+	switch {
+	case n > 0 && !c.acceptHead(p[:n]):
 		return 0, os.ErrDeadlineExceeded // net/http answers other errors
+	case n == 0 && errors.Is(err, os.ErrDeadlineExceeded):
+		c.headRefused()
 	}
 	return n, err
 }
--- a/edge/relayserver.go
+++ b/edge/relayserver.go
@@ -63,8 +63,8 @@
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       relayIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes + relayHeaderBytes,
-	}, e.log, e.metrics), maxBytes: min(maxRelayedBytes, e.bodies.total/relayedBodyShare)}
-	e.relayServer.headerLimits = e.relayedHeaderLimits
+	}, e.log, e.metrics), maxBytes: min(maxRelayedBytes, e.requests.total/relayedBodyShare)}
+	e.relayServer.headerLimits, e.relayServer.requests = e.relayedHeaderLimits, e.requests
 	go e.relayServer.serve()
 	return nil
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -64,12 +64,12 @@
 	// RequestsAhead is the number of requests that were passed on before the responses to all earlier requests of
 	// their connections were written.
 	RequestsAhead *prometheus.GaugeVec
-	// BodyBytes is the number of bytes reserved for callers' bodies.
-	BodyBytes *prometheus.GaugeVec
+	// RequestBytes is the number of bytes reserved for headers and bodies of callers.
+	RequestBytes *prometheus.GaugeVec
 	// ResponseBytes is the number of bytes reserved for responses.
 	ResponseBytes *prometheus.GaugeVec
-	// BodiesRefused counts bodies that were refused for lack of memory, by reason.
-	BodiesRefused *prometheus.CounterVec
+	// RequestsRefused counts requests that were refused for lack of memory, by reason.
+	RequestsRefused *prometheus.CounterVec
 	// HeadersRefused counts requests whose headers exceeded a limit, by reason.
 	HeadersRefused *prometheus.CounterVec
 	// ConnectionsEnded counts callers' connections that were closed because of the bound on connections, by what they did.
@@ -114,9 +114,9 @@
 		CutOff:            gauge("cut_off", "Whether the host has lost all targets."),
 		UnhandledRequests: counter("unhandled_requests_total", "Requests that were read and not handled."),
 		RequestsAhead:     gauge("requests_ahead", "Requests passed on before earlier requests of their connections were answered."),
-		BodyBytes:         gauge("body_bytes", "Bytes reserved for bodies of callers."),
+		RequestBytes:      gauge("request_bytes", "Bytes reserved for headers and bodies of callers."),
 		ResponseBytes:     gauge("response_bytes", "Bytes reserved for responses."),
-		BodiesRefused:     counter("bodies_refused_total", "Bodies refused for lack of memory.", "reason"),
+		RequestsRefused:   counter("requests_refused_total", "Requests refused for lack of memory.", "reason"),
 		HeadersRefused:    counter("headers_refused_total", "Requests whose headers exceeded a limit.", "reason"),
 		ConnectionsEnded:  counter("connections_ended_total", "Connections closed because of the bound on connections.", "reason"),
 		Refusals:          counter("refusals_total", "Requests that were refused and have not run, by route and reason.", "service", "route", "reason"),
@@ -132,7 +132,7 @@
 		s.LimitedAttempts, s.CompletionRatio, s.RelayedRequests, s.CutOff, s.Probes, s.UnhandledRequests,
 		s.RequestsAhead,
 		s.EvacuatedDataCentres, s.EvacuationsIgnored,
-		s.BodyBytes, s.ResponseBytes, s.BodiesRefused, s.HeadersRefused, s.ConnectionsEnded,
+		s.RequestBytes, s.ResponseBytes, s.RequestsRefused, s.HeadersRefused, s.ConnectionsEnded,
 		s.PacedTargets,
 		s.Refusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -34,7 +34,7 @@
 	RelayAddress netip.AddrPort
 	// MemoryMB is the memory available to the process, in megabytes.
 	MemoryMB int
-	// BodyMemoryMB is the part of MemoryMB for callers' bodies, in megabytes; 0 means a quarter of MemoryMB.
+	// BodyMemoryMB is the part of MemoryMB for callers' headers and bodies, in megabytes; 0 means 9/32 of MemoryMB.
 	BodyMemoryMB int
 	// MaxConnections bounds the connections of callers; 0 means a bound from MemoryMB and the process's descriptors.
 	MaxConnections int
