Count requests ahead by what they take when parsed

Callers saw: a host over its memory while callers sent requests ahead with long headers.

Cause: a request ahead counted with the bytes of its head, up to 8 kB. Parsed and copied these take twenty times as much, and the bound of 256 requests and 4 MB was the same on every host.

Change: a request ahead counts with what its header takes when parsed, as other requests do. The bound on all connections is a share of the process's memory, 2/32. TestReadAheadIsBounded gives two of its limits in the new unit; it allows as many requests as before.

--- a/edge/entry.go
+++ b/edge/entry.go
@@ -28,7 +28,7 @@
 		ReadHeaderTimeout: maxHeaderTimeout, // connServer applies the configured limits
 		MaxHeaderBytes:    maxHeaderBytes,
 	}, e.log, e.metrics)
-	e.entryServer.limits, e.entryServer.stopping = defaultAhead, e.draining.Load
+	e.entryServer.limits, e.entryServer.stopping = newAheadLimits(planMemory(e.settings).ahead), e.draining.Load
 	e.entryServer.headerLimits, e.entryServer.requests = e.headerLimits, e.requests
 	e.entryServer.bound.limit = maxCallerConns(e.settings, descriptorLimit())
 	go e.entryServer.serve()
--- a/edge/memory.go
+++ b/edge/memory.go
@@ -20,6 +20,7 @@
 	smallRequestShare = 4
 	// largeRequestShare is for the other requests.
 	largeRequestShare = 5
+	aheadShare        = 2
 	responseShare     = 3
 )
 
@@ -28,6 +29,7 @@
 	conns         int64
 	requests      int64 // headers and bodies
 	largeRequests int64 // the part of requests that large ones may use
+	ahead         int64 // requests that are handled before the one ahead of them on their connection has ended
 	responses     int64
 }
 
@@ -36,7 +38,7 @@
 	part := int64(s.MemoryMB) << 20 / memoryParts
 	p := memoryPlan{
 		conns: connShare * part, requests: (smallRequestShare + largeRequestShare) * part, largeRequests: largeRequestShare * part,
-		responses: responseShare * part,
+		ahead: aheadShare * part, responses: responseShare * part,
 	}
 	if s.BodyMemoryMB > 0 {
 		p.requests = int64(s.BodyMemoryMB) << 20
@@ -46,7 +48,7 @@
 }
 
 // sum returns the bytes of all shares.
-func (p memoryPlan) sum() int64 { return p.conns + p.requests + p.responses }
+func (p memoryPlan) sum() int64 { return p.conns + p.requests + p.ahead + p.responses }
 
 // A responseBudget bounds the bytes of responses that are in memory. A response that gets no memory is passed on as it
 // arrives.
--- a/edge/pipeline.go
+++ b/edge/pipeline.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -11,7 +12,7 @@
 // aheadLimits bounds what is read ahead on callers' connections.
 type aheadLimits struct {
 	requests    int   // of a connection; zero if requests are handled one after the other
-	bytes       int64 // heads and waiting output of a connection
+	bytes       int64 // headers as they are held when parsed, and waiting output, of a connection
 	allRequests int64 // of all connections
 	allBytes    int64
 	// responseEnd is how long a request in progress may take to end after it has written to the caller before further requests are
@@ -20,9 +21,26 @@
 	responseEnd time.Duration
 }
 
-// defaultAhead are the limits on callers' connections. A request held ahead takes 20 KB apart from what its handler needs and the
-// counted bytes, so that all together take some 10 MB; the smallest hosts have 144 MB.
-var defaultAhead = aheadLimits{requests: 16, bytes: 128 << 10, allRequests: 256, allBytes: 4 << 20, responseEnd: time.Millisecond}
+const (
+	// aheadRequestMemory is what a request ahead takes apart from the counted bytes and what its handler needs.
+	aheadRequestMemory = 20 << 10
+	// maxAheadRequests bounds the requests ahead on all connections, however much memory there is.
+	maxAheadRequests = 256
+)
+
+// newAheadLimits returns the limits on callers' connections, whose requests ahead take at most so many bytes: half of them for the
+// requests, half for their headers and output.
+func newAheadLimits(memory int64) aheadLimits {
+	return aheadLimits{
+		requests: 16, bytes: 256 << 10, responseEnd: time.Millisecond,
+		allRequests: min(maxAheadRequests, memory/2/aheadRequestMemory), allBytes: memory / 2,
+	}
+}
+
+// aheadMemory returns the bytes that a head takes when it is passed on ahead.
+func aheadMemory(head []byte) int64 {
+	return headerMemory(int64(len(head)), int64(bytes.Count(head, headEnd[:2])))
+}
 
 // lingerTime is how long a connection with unread requests is kept after its last response. A close with unread
 // bytes resets the connection, and the caller may lose the response.
@@ -62,7 +80,7 @@
 	switch {
 	case f == incomplete && len(c.held) < maxAheadHead:
 		return 0, blockedRead
-	case f != bodyless || !c.server.acceptsHead(int64(head)) || !isPlainHead(c.held[:head]) || !c.server.reserveRequest(c.pipe, int64(head)):
+	case f != bodyless || !c.server.acceptsHead(int64(head)) || !isPlainHead(c.held[:head]) || !c.server.reserveRequest(c.pipe, aheadMemory(c.held[:head])):
 		return 0, blockedChange
 	}
 	return head, notBlocked
@@ -82,9 +100,9 @@
 		m.changed.L = &c.mu
 	}
 	m.in = append([]byte(nil), c.held[:n]...)
-	m.charged, m.passedOn = int64(n), time.Now()
+	m.charged, m.passedOn = aheadMemory(m.in), time.Now()
 	m.handled, m.answered, m.done, m.writeDeadline = false, false, false, time.Time{}
-	p.bytes += int64(n)
+	p.bytes += m.charged
 	p.queue = append(p.queue, m)
 	m.changed.Broadcast()
 	c.drop(n)
--- a/edge/pipeline_test.go
+++ b/edge/pipeline_test.go
@@ -215,6 +215,7 @@
 
 // Requests ahead and their output are bounded; the others wait and are answered too.
 func TestReadAheadIsBounded(t *testing.T) {
+	twoHeads := 2 * aheadMemory([]byte(get("/00")))
 	tests := []struct {
 		name    string
 		limits  aheadLimits
@@ -223,8 +224,8 @@
 	}{
 		{"requests of a connection", testAhead, "", 5},
 		{"requests of all connections", aheadLimits{requests: 4, bytes: 16 << 10, allRequests: 2, allBytes: 1 << 20}, "", 3},
-		{"heads of a connection", aheadLimits{requests: 4, bytes: 100, allRequests: 64, allBytes: 1 << 20}, "", 3},
-		{"heads of all connections", aheadLimits{requests: 4, bytes: 16 << 10, allRequests: 64, allBytes: 100}, "", 3},
+		{"heads of a connection", aheadLimits{requests: 4, bytes: twoHeads, allRequests: 64, allBytes: 1 << 20}, "", 3},
+		{"heads of all connections", aheadLimits{requests: 4, bytes: 16 << 10, allRequests: 64, allBytes: twoHeads}, "", 3},
 		{"output of a connection", testAhead, "?size=100000", 5},
 	}
 	for _, test := range tests {
--- a/edge/pipelineconn.go
+++ b/edge/pipelineconn.go
@@ -197,7 +197,7 @@
 	}
 }
 
-// reserveRequest reserves a request with a head of n bytes that is read ahead on a connection, or returns false if a bound is
+// reserveRequest reserves a request whose head takes n bytes that is read ahead on a connection, or returns false if a bound is
 // reached. The caller holds the connection's mu.
 func (s *connServer) reserveRequest(p *pipeline, n int64) bool {
 	if p != nil && p.bytes+n > s.limits.bytes {
--- a/edge/pipelinefuzz_test.go
+++ b/edge/pipelinefuzz_test.go
@@ -72,7 +72,7 @@
 
 // BenchmarkSequentialRequests measures requests of a caller that sends one at a time.
 func BenchmarkSequentialRequests(b *testing.B) {
-	for _, limits := range []aheadLimits{{}, defaultAhead} {
+	for _, limits := range []aheadLimits{{}, newAheadLimits(8 << 20)} {
 		b.Run(fmt.Sprint("ahead=", limits.requests), func(b *testing.B) {
 			s := newPipelineServer(b, limits)
 			caller := s.connect()
