Close connections whose bodies have stalled when the bound on connections is reached

Callers saw: new connections closed unread while as many others as a host serves had sent the beginning of a body and nothing more.

Cause: a connection counted as busy as soon as its header was read, and busy ones are not closed for others.

Change: a connection of whose body nothing has arrived for a second may be closed for a new one, after idle ones and incomplete headers. Its request is refused with 408, as is one whose header is incomplete; both have not run. One that waits for memory gets 503.

--- a/edge/connbound.go
+++ b/edge/connbound.go
@@ -19,6 +19,8 @@
 	// minHeaderWait is how long the header of a request must have been incomplete before its connection is closed for another
 	// one. A lost packet is sent again within a second.
 	minHeaderWait = time.Second
+	// minBodyWait is how long nothing must have arrived of a body before its connection is closed for another one.
+	minBodyWait = time.Second
 	// connLogInterval is the least time between two log lines about the bound.
 	connLogInterval = time.Second
 )
@@ -44,10 +46,11 @@
 type connActivity int
 
 const (
-	connBusy      connActivity = iota // with a request
-	connIdle                          // has sent nothing, or nothing since its last request
-	connReceiving                     // the header of a request is incomplete
-	connEnding                        // is being closed
+	connBusy          connActivity = iota // with a request
+	connIdle                              // has sent nothing, or nothing since its last request
+	connReceiving                         // the header of a request is incomplete
+	connReceivingBody                     // the body of a request is incomplete
+	connEnding                            // is being closed
 )
 
 // A connView is what is known of a connection for the bound.
@@ -58,30 +61,34 @@
 
 // chooseConnToEnd returns the index of the connection that is closed for a new one, -1 if there is none, and whether it
 // has to be one at all: connections that are being closed make room. It answers callers that open connections and send no
-// request, or only the beginning of one: the longest idle connection is closed first, then the one with the longest incomplete header.
+// request, or only the beginning of one: the longest idle connection is closed first, then the one with the longest incomplete header,
+// then the one whose body has stalled longest.
 func chooseConnToEnd(now time.Time, conns []connView, limit int) (index int, needed bool) {
-	ending, idle, receiving := 0, -1, -1
+	waits := map[connActivity]time.Duration{connIdle: minConnIdle, connReceiving: minHeaderWait, connReceivingBody: minBodyWait}
+	longest := map[connActivity]int{}
+	ending := 0
 	for i, c := range conns {
-		switch {
-		case c.activity == connEnding:
+		if c.activity == connEnding {
 			ending++
-		case c.activity == connIdle && now.Sub(c.since) >= minConnIdle:
-			if idle < 0 || c.since.Before(conns[idle].since) {
-				idle = i
-			}
-		case c.activity == connReceiving && now.Sub(c.since) >= minHeaderWait:
-			if receiving < 0 || c.since.Before(conns[receiving].since) {
-				receiving = i
-			}
+			continue
+		}
+		wait, mayEnd := waits[c.activity]
+		if !mayEnd || now.Sub(c.since) < wait {
+			continue
+		}
+		if at, found := longest[c.activity]; !found || c.since.Before(conns[at].since) {
+			longest[c.activity] = i
 		}
 	}
 	if len(conns)-ending < limit {
 		return -1, false
 	}
-	if idle >= 0 {
-		return idle, true
+	for _, activity := range []connActivity{connIdle, connReceiving, connReceivingBody} {
+		if at, found := longest[activity]; found {
+			return at, true
+		}
 	}
-	return receiving, true
+	return -1, true
 }
 
 // connBound is the bound on the connections of a connServer.
@@ -114,7 +121,7 @@
 	}
 	reason := "refused"
 	if index >= 0 {
-		reason = map[connActivity]string{connIdle: "idle", connReceiving: "header"}[views[index].activity]
+		reason = map[connActivity]string{connIdle: "idle", connReceiving: "header", connReceivingBody: "body"}[views[index].activity]
 		conns[index].evict(views[index].activity)
 	}
 	s.bound.closed++
@@ -128,40 +135,55 @@
 
 // view returns what a connection does.
 func (c *trackedConn) view() connView {
+	v, memory := c.viewWithoutBody()
+	if v.activity == connBusy && memory != nil && memory.isIncomplete() { // without c.mu, as the budget may interrupt reads
+		v.activity = connReceivingBody
+	}
+	return v
+}
+
+// viewWithoutBody is view for all but bodies. It returns the memory of the request in progress too.
+func (c *trackedConn) viewWithoutBody() (connView, *heldRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.ending || c.evicted:
-		return connView{activity: connEnding}
+		return connView{activity: connEnding}, nil
 	case !c.awaitsRequest():
-		return connView{activity: connBusy}
+		return connView{connBusy, c.lastRead}, c.memory
 	case c.receiving:
-		return connView{connReceiving, c.receivingSince}
+		return connView{connReceiving, c.receivingSince}, nil
 	case c.used:
-		return connView{connIdle, c.idleSince}
+		return connView{connIdle, c.idleSince}, nil
 	}
-	return connView{connIdle, c.accepted}
+	return connView{connIdle, c.accepted}, nil
 }
 
-// evict closes a connection that has been idle, unless bytes have arrived just now, or one whose header is incomplete.
-// No handler has got a request of it.
+// evict closes a connection that has been idle, unless bytes have arrived just now, or one whose request is incomplete. Nothing of
+// such a request was passed on.
 func (c *trackedConn) evict(seen connActivity) {
-	if memory := c.beginEviction(seen); memory != nil {
-		memory.abandon() // without c.mu, as the budget may interrupt reads
+	memory := c.beginEviction(seen)
+	if memory == nil || !memory.refuseIncomplete() {
+		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
 }
 
-// beginEviction ends the read of a connection. It returns the memory for which the connection may be waiting instead, or nil.
+// beginEviction ends the read of a connection that awaits a request. It returns the memory of a request that is incomplete, or nil.
 func (c *trackedConn) beginEviction(seen connActivity) *heldRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case seen == connIdle:
 		c.end()
+		return nil
 	case c.awaitsRequest():
 		c.evicted = true
 		_ = c.TCPConn.SetReadDeadline(expired) // fails only on a closed connection
-		return c.memory
+	case seen != connReceivingBody:
+		return nil // the header has been completed just now
 	}
-	return nil
+	return c.memory
 }
--- a/edge/connbound_test.go
+++ b/edge/connbound_test.go
@@ -26,6 +26,9 @@
 		{"longest incomplete header", []connView{view(connReceiving, minHeaderWait), view(connReceiving, minute)}, 1, true},
 		{"header under way", []connView{view(connReceiving, minHeaderWait-1), view(connBusy, minute)}, -1, true},
 		{"with requests", []connView{view(connBusy, minute), view(connBusy, minute)}, -1, true},
+		{"longest stalled body", []connView{view(connReceivingBody, minBodyWait), view(connReceivingBody, minute)}, 1, true},
+		{"body under way", []connView{view(connReceivingBody, minBodyWait-1), view(connBusy, minute)}, -1, true},
+		{"header before body", []connView{view(connReceivingBody, minute), view(connReceiving, minHeaderWait)}, 1, true},
 		{"being closed", []connView{view(connEnding, minute), view(connBusy, minute)}, -1, false},
 		{"not enough being closed", []connView{view(connEnding, minute), view(connBusy, minute), view(connIdle, minute)}, 2, true},
 	}
--- a/edge/connserver.go
+++ b/edge/connserver.go
@@ -109,6 +109,7 @@
 	changed        chan struct{} // ends its wait
 	aborted        atomic.Bool   // net/http has ended the read
 	receivingSince time.Time     // when the first bytes of the next request were read; valid while receiving
+	lastRead       time.Time     // when bytes were last received
 	evicted        bool          // the connection is closed for another one
 	refused        bool          // the header of the last request was refused
 }
@@ -149,6 +150,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
+		c.lastRead = time.Now()
 		c.received()
 	}
 	c.left = c.left || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
--- a/edge/requestbudget.go
+++ b/edge/requestbudget.go
@@ -155,13 +155,26 @@
 	return h.refusal
 }
 
-// abandon refuses a request that waits for memory.
-func (h *heldRequest) abandon() {
+// isIncomplete reports whether a request is being received or waits for memory.
+func (h *heldRequest) isIncomplete() bool {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	if h.phase == requestWaiting {
-		h.budget.refuse(h, errNoMemory)
+	return h.refusal == nil && h.phase != requestReceived
+}
+
+// refuseIncomplete refuses a request that is being received or waits for memory, and reports whether it was one.
+func (h *heldRequest) refuseIncomplete() bool {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	switch {
+	case h.refusal != nil || h.phase == requestReceived:
+		return false
+	case h.phase == requestWaiting:
+		h.budget.end(h, errNoMemory)
+	default:
+		h.budget.end(h, errStalled)
 	}
+	return true
 }
 
 // received ends the receipt of a request, which is not refused from then on. It returns the refusal of a request that was
@@ -291,8 +304,8 @@
 	b.settle()
 }
 
-// refuse refuses a request, which gives its memory back when its request ends.
-func (b *requestBudget) refuse(h *heldRequest, why error) {
+// end ends the receipt of a request, which gives its memory back when its handler has returned.
+func (b *requestBudget) end(h *heldRequest, why error) {
 	h.refusal = why
 	b.freeing += h.held
 	if h.phase == requestWaiting {
@@ -300,6 +313,11 @@
 	} else {
 		h.interrupt()
 	}
+}
+
+// refuse ends the receipt of a request because memory is short.
+func (b *requestBudget) refuse(h *heldRequest, why error) {
+	b.end(h, why)
 	b.refused++
 	reason := "stalled"
 	if why == errNoMemory {
