Give the slot of a streamed body that stalls to requests that wait for it

Callers saw: 503 starved for every ordinary request of a service while a dozen bodies of several megabytes had stopped after their last chunk, until the deadline of these.

Cause: a body over a megabyte is streamed, and its request holds a slot of its target for as long as its caller takes to send the rest.

Change: a stream of which less than 2 kB arrive in 500 ms is ended when another request waits for its target, the longest stalled first. Time in which the target does not read does not count. The answer is 502 body_stalled: the target has begun to read the request, so that nothing can be promised. After a stall, requests with streamed bodies queue behind the others of their rank for 5 s and use at most half of the slots; nothing changes for them where none has stalled.

TestStalledStreamGivesItsSlotBack fails without the change.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -40,7 +40,9 @@
 	target := d.dispatch.Target.Name
 	q.edge.path.sent(target)
 	attemptCtx, detach := q.attemptContext(ctx)
+	attemptCtx, done := q.watchStream(attemptCtx, target)
 	response, err := d.client.Do(attemptCtx, q.targetRequest(d.dispatch))
+	done()
 	detach()
 	result := scheduler.Result{Outcome: classifyOutcome(response, err), ResponseTime: time.Since(sent)}
 	q.edge.path.exchanged(ctx, target, result.ResponseTime, response, err)
@@ -157,6 +159,9 @@
 		q.possibleRuns++
 	}
 	switch {
+	case q.streamStalled():
+		q.finish(http.StatusBadGateway, "body_stalled", 0) // the target has begun to read it
+		return true
 	case eris.Is(err, exchange.ErrCancelled) && ctx.Err() == nil:
 		// Only attemptContext has ended: the host is cut off.
 		if q.takeRetry(ctx, true) {
--- a/edge/body.go
+++ b/edge/body.go
@@ -1,10 +1,8 @@
 package edge
 
 import (
-	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -162,22 +160,6 @@
 	b.held.shrinkTo(b.header + streamBuffer)
 }
 
-// streamedRest is the rest of a streamed body. It calls ended when all was read.
-type streamedRest struct {
-	source   io.Reader
-	ended    func()
-	complete atomic.Bool
-}
-
-func (s *streamedRest) Read(p []byte) (int, error) {
-	n, err := s.source.Read(p)
-	if errors.Is(err, io.EOF) {
-		s.complete.Store(true)
-		s.ended()
-	}
-	return n, err
-}
-
 // fingerprint returns a hash of the method, host, URI and buffered body, which is
 // equal for identical requests.
 func fingerprint(r *http.Request, b *body) quarantine.Fingerprint {
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -59,6 +59,7 @@
 	retryTaken   bool               // a retry was taken from the budget of a host, and the request has not been sent since
 	possibleRuns int                // attempts that a target may have run
 	queueTime    time.Duration      // time from the arrival at the scheduler to the first attempt
+	stream       *stream            // of the last attempt; nil if the body was not streamed
 	endMemory    func()             // ends the use of the request's memory
 	fallback     *exchange.Response // 5xx response of the last retried attempt, sent if the retries yield no response to pass on
 	outcome      string
@@ -187,7 +188,7 @@
 		q.rejectBody(err)
 		return false
 	}
-	q.scheduled.Bytes = max(b.length, b.buffered)
+	q.scheduled.Bytes, q.scheduled.Streamed = max(b.length, b.buffered), b.rest != nil
 	q.fingerprint = fingerprint(q.r, &b)
 	return true
 }
@@ -223,6 +224,9 @@
 
 // free gives the memory of the request's body and of a response that was not sent back.
 func (q *request) free() {
+	if q.stream != nil {
+		q.stream.cancel()
+	}
 	if q.endMemory != nil {
 		q.endMemory()
 	}
@@ -240,7 +244,7 @@
 
 // stopReceiving ends the receipt of a streamed body whose request is over. The server would wait for the rest.
 func (q *request) stopReceiving() {
-	if rest, ok := q.body.rest.(*streamedRest); ok && !rest.complete.Load() {
+	if rest, ok := q.body.rest.(*streamedRest); ok && !rest.isComplete() {
 		q.w.Header().Set("Connection", "close")
 		_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(discardTime)) // on failure the deadline of the body applies
 	}
--- a/edge/service.go
+++ b/edge/service.go
@@ -39,8 +39,11 @@
 	rate          rate
 	keyCounts     map[uint16]int // number of requests by key since the last report
 
-	pacedResponses map[ownership.Incarnation]pace.Responses // since the last call for permits
-	queueTimer     *time.Timer                              // calls checkQueue; nil if it is not pending
+	pacedResponses  map[ownership.Incarnation]pace.Responses // since the last call for permits
+	streams         map[*stream]struct{}
+	stalledStreams  int // since the last log line
+	streamsLoggedAt time.Time
+	queueTimer      *time.Timer // calls checkQueue; nil if it is not pending
 }
 
 // schedulerDecision is the scheduler's decision on a queued request: a slot at a
@@ -63,6 +66,7 @@
 		keyCounts: map[uint16]int{},
 
 		pacedResponses: map[ownership.Incarnation]pace.Responses{},
+		streams:        map[*stream]struct{}{},
 	}
 	s.scheduler = scheduler.New(scheduler.Options{
 		DataCentre: e.settings.DataCentre,
@@ -114,6 +118,7 @@
 	rejection, ok := add(now, r)
 	if !ok {
 		s.signalWants(now)
+		s.endStreamFor(now, r)
 		s.mu.Unlock()
 		return schedulerDecision{rejection: rejection, rejected: true}, true
 	}
@@ -188,6 +193,7 @@
 		rejection.Request.Value.(chan schedulerDecision) <- schedulerDecision{rejection: rejection, rejected: true}
 	}
 	s.dispatchQueued(now)
+	s.endStalledStream(now, s.scheduler.WaitsFor)
 }
 
 // setTargets sets the targets of the service. Idle connections to incarnations that are
--- a/edge/untrusted_test.go
+++ b/edge/untrusted_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/redwingtally/redwingtally/internal/standin"
 	"github.com/redwingtally/redwingtally/platform"
 )
 
@@ -116,3 +118,46 @@
 		})
 	}
 }
+
+// A streamed body that stops gives the slot of its target to a request that waits for it. Its target has begun to read it, so that
+// the answer does not promise that it has not run.
+func TestStalledStreamGivesItsSlotBack(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(t, 1)
+	h.server(standin.ServerOptions{Name: "a", Service: "stock", Slots: 2})
+	h.configure([]platform.Route{
+		route("stock", "/holders/", platform.AtMostOnce, func(r *platform.Route) { r.Timeout, r.Objective = 20*time.Second, 10*time.Second }),
+	}, plain("stock"))
+	h.waitServing(0, "/holders/1")
+	var conns []net.Conn
+	for n := range 8 { // more than the slots of the target with what the host sends beyond them
+		conn, err := net.Dial("tcp4", h.settings[0].EntryAddress.String())
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { _ = conn.Close() })
+		conns = append(conns, conn)
+		header := http.Header{}
+		platform.SetRequestMeta(header, platform.RequestMeta{ID: fmt.Sprint("stops-", n), Timeout: callerTimeout})
+		var lines strings.Builder
+		c.Assert(header.Write(&lines), qt.IsNil)
+		_, err = io.WriteString(conn, "POST /holders/1 HTTP/1.1\r\nHost: quotes.example\r\nContent-Length: 2000000\r\n"+lines.String()+"\r\n"+strings.Repeat("x", 3<<19))
+		c.Assert(err, qt.IsNil)
+	}
+	h.eventually("an ordinary request is served", func() bool {
+		return h.do(call{path: "/holders/1", method: http.MethodPost, body: "small"}).status == http.StatusOK
+	})
+	stalled := 0
+	for _, conn := range conns {
+		c.Assert(conn.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			continue // still waiting
+		}
+		text, err := io.ReadAll(resp.Body)
+		c.Assert(err, qt.IsNil)
+		if resp.StatusCode == http.StatusBadGateway {
+			c.Check(string(text), qt.Equals, "body_stalled\n")
+			stalled++
+		}
+	}
+	c.Check(stalled > 0, qt.IsTrue)
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -72,6 +72,8 @@
 	RequestsRefused *prometheus.CounterVec
 	// HeadersRefused counts requests whose headers exceeded a limit, by reason.
 	HeadersRefused *prometheus.CounterVec
+	// StreamsStalled counts requests that were ended because their streamed bodies stalled while others waited, by service.
+	StreamsStalled *prometheus.CounterVec
 	// ConnectionsEnded counts callers' connections that were closed because of the bound on connections, by what they did.
 	ConnectionsEnded *prometheus.CounterVec
 	// Refusals counts the requests that were refused and have not run, by service, route and reason.
@@ -118,6 +120,7 @@
 		ResponseBytes:     gauge("response_bytes", "Bytes reserved for responses."),
 		RequestsRefused:   counter("requests_refused_total", "Requests refused for lack of memory.", "reason"),
 		HeadersRefused:    counter("headers_refused_total", "Requests whose headers exceeded a limit.", "reason"),
+		StreamsStalled:    counter("streams_stalled_total", "Requests ended because their streamed bodies stalled.", "service"),
 		ConnectionsEnded:  counter("connections_ended_total", "Connections closed because of the bound on connections.", "reason"),
 		Refusals:          counter("refusals_total", "Requests that were refused and have not run, by route and reason.", "service", "route", "reason"),
 		Probes:            counter("probes_total", "Connection attempts that look for a path to targets.", "result"),
@@ -132,7 +135,7 @@
 		s.LimitedAttempts, s.CompletionRatio, s.RelayedRequests, s.CutOff, s.Probes, s.UnhandledRequests,
 		s.RequestsAhead,
 		s.EvacuatedDataCentres, s.EvacuationsIgnored,
-		s.RequestBytes, s.ResponseBytes, s.RequestsRefused, s.HeadersRefused, s.ConnectionsEnded,
+		s.RequestBytes, s.ResponseBytes, s.RequestsRefused, s.HeadersRefused, s.StreamsStalled, s.ConnectionsEnded,
 		s.PacedTargets,
 		s.Refusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
--- a/scheduler/backlog_test.go
+++ b/scheduler/backlog_test.go
@@ -20,8 +20,8 @@
 			rejected++
 		}
 	}
-	c.Check(sched.Queued(), qt.Equals, maxQueuedBacklog)
-	c.Check(rejected, qt.Equals, 2*maxQueueLength-maxQueuedBacklog)
+	c.Check(sched.Queued(), qt.Equals, maxQueuedDeferred)
+	c.Check(rejected, qt.Equals, 2*maxQueueLength-maxQueuedDeferred)
 	ordinary := newRequest(start, 0, time.Minute, time.Hour)
 	_, ok := sched.Add(start, ordinary)
 	c.Assert(ok, qt.IsTrue)
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -62,6 +62,7 @@
 		switch {
 		case r.Keyed:
 			t = s.availableOwner(now, r)
+		case !s.leavesRoom(now, r, s.runningStreamed, s.runningLimit(now)):
 		case hasCapacity || s.limitedTargets > 0:
 			t = s.cheapestTarget(now, r, hasCapacity)
 		}
@@ -80,7 +81,7 @@
 // progress of its class.
 func (s *Scheduler) start(now time.Time, r *Request, t *target) {
 	if !s.meetsObjective(now, r) {
-		s.classStateOf(r).lastProgress = now
+		s.classStateOf(now, r).lastProgress = now
 	}
 	r.target = t
 	r.tried = append(r.tried, t.Name)
@@ -88,6 +89,10 @@
 	if r.permitted {
 		s.runningPermitted++
 	}
+	if r.Streamed {
+		s.runningStreamed++
+		t.runningStreamed++
+	}
 	s.recordRunning(now, r, 1)
 	r.expected = completion{}
 	if s.statesLoad(now) {
@@ -115,6 +120,9 @@
 	if t == nil || !t.available(now) || t.running >= s.keyedLimit(now, t) {
 		return nil
 	}
+	if !s.leavesRoom(now, r, t.runningStreamed, s.keyedLimit(now, t)) {
+		return nil
+	}
 	if !t.permitted(now) {
 		t.want(now)
 		return nil
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -6,11 +6,11 @@
 )
 
 // class identifies requests of one rank that compete for the same slots: those
-// with keys of one owner, or all without a key. Requests of callers with a backlog are a class of their own.
+// with keys of one owner, or all without a key. Requests that give way to others are a class of their own.
 type class struct {
-	rank    int
-	owner   string
-	backlog bool
+	rank     int
+	owner    string
+	deferred bool
 }
 
 // classState records whether a class is starved. A class is starved while its
@@ -21,8 +21,8 @@
 }
 
 // classStateOf returns the state of r's class and creates it on first use.
-func (s *Scheduler) classStateOf(r *Request) *classState {
-	id := class{rank: r.Rank, backlog: r.Backlog}
+func (s *Scheduler) classStateOf(now time.Time, r *Request) *classState {
+	id := class{rank: r.Rank, deferred: s.deferred(now, r)}
 	if r.Keyed {
 		id.owner, _ = s.options.Owner(r.Key)
 	}
@@ -34,14 +34,14 @@
 	return state
 }
 
-// precedes reports whether a is queued before b. Requests are ordered by rank, then by whether their callers have a
-// backlog, then by whether they can still meet their objective, then by arrival.
+// precedes reports whether a is queued before b. Requests are ordered by rank, then by whether they give way
+// to others, then by whether they can still meet their objective, then by arrival.
 func (s *Scheduler) precedes(now time.Time, a, b *Request) bool {
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
-	if a.Backlog != b.Backlog {
-		return b.Backlog
+	if deferredB := s.deferred(now, b); s.deferred(now, a) != deferredB {
+		return deferredB
 	}
 	inTimeA, inTimeB := s.meetsObjective(now, a), s.meetsObjective(now, b)
 	if inTimeA != inTimeB {
@@ -50,11 +50,11 @@
 	return a.sequence < b.sequence
 }
 
-// queuedBacklog returns the number of queued requests of callers with a backlog.
-func (s *Scheduler) queuedBacklog() int {
+// queuedDeferred returns the number of queued requests that give way to others.
+func (s *Scheduler) queuedDeferred(now time.Time) int {
 	n := 0
 	for _, r := range s.queue {
-		if r.Backlog {
+		if s.deferred(now, r) {
 			n++
 		}
 	}
@@ -191,7 +191,7 @@
 	waiting := map[*classState]bool{}
 	for _, r := range s.queue {
 		if !s.meetsObjective(now, r) {
-			waiting[s.classStateOf(r)] = true
+			waiting[s.classStateOf(now, r)] = true
 		}
 	}
 	for id, state := range s.classes {
@@ -214,7 +214,7 @@
 		return NoTarget, noTargetRetryAfter
 	case s.missesDeadline(now, wait, r):
 		return s.unreachableReason(now, r), wait
-	case now.Before(s.classStateOf(r).starvedUntil) && !s.meetsObjective(now, r):
+	case now.Before(s.classStateOf(now, r).starvedUntil) && !s.meetsObjective(now, r):
 		return Starved, maxRetryAfter
 	}
 	return "", 0
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -40,6 +40,8 @@
 	Deadline time.Time
 	// Backlog reports whether the request's caller has many further requests waiting on its connection.
 	Backlog bool
+	// Streamed reports whether a part of the body is still with the caller.
+	Streamed bool
 	// Bytes is the size of the body in bytes.
 	Bytes int64
 	// Value is not used by the scheduler; its user may store anything in it.
@@ -125,9 +127,9 @@
 const (
 	// maxQueueLength is the maximum number of queued requests; each holds a connection and a body of up to 1 MB.
 	maxQueueLength = 256
-	// maxQueuedBacklog is the part of the queue for callers with a backlog. With all of it, a few callers that send
+	// maxQueuedDeferred is the part of the queue for requests that give way to others. With all of it, a few callers that send
 	// requests without waiting for responses would have those of all others rejected.
-	maxQueuedBacklog = maxQueueLength / 2
+	maxQueuedDeferred = maxQueueLength / 2
 	// overcommit is the number of requests sent per slot; values above 1 cover network latency and
 	// differences in speed between targets.
 	overcommit = 1.5
@@ -179,6 +181,9 @@
 	load                serviceLoad  // as the targets state it
 	ranks               []*rankState // by rank
 	singleRank          bool         // all requests have the same rank
+
+	runningStreamed       int       // of running, those with a streamed body
+	streamedDeferredUntil time.Time // until when these give way to others
 }
 
 // New returns a Scheduler without targets that may use all slots of the service.
@@ -239,7 +244,7 @@
 	if !s.canServe(now, r) {
 		return Rejection{Request: r, Reason: NoTarget, RetryAfter: s.jitter(noTargetRetryAfter)}, false
 	}
-	if len(s.queue) >= maxQueueLength || r.Backlog && s.queuedBacklog() >= maxQueuedBacklog {
+	if len(s.queue) >= maxQueueLength || s.deferred(now, r) && s.queuedDeferred(now) >= maxQueuedDeferred {
 		return Rejection{Request: r, Reason: QueueFull, RetryAfter: s.jitter(maxRetryAfter)}, false
 	}
 	if s.exceedsKeyShare(now, r) {
@@ -251,7 +256,7 @@
 		s.wantPermits(now, r)
 		return Rejection{Request: r, Reason: s.unreachableReason(now, r), RetryAfter: s.jitter(wait)}, false
 	}
-	if now.Before(s.classStateOf(r).starvedUntil) && !s.meetsObjective(now.Add(wait), r) {
+	if now.Before(s.classStateOf(now, r).starvedUntil) && !s.meetsObjective(now.Add(wait), r) {
 		s.wantPermits(now, r)
 		return Rejection{Request: r, Reason: Starved, RetryAfter: s.jitter(maxRetryAfter)}, false
 	}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -83,6 +83,7 @@
 	ownerLoad
 
 	running               int
+	runningStreamed       int         // of running, those with a streamed body
 	warmAt                time.Time   // when a cold target reaches its full speed
 	pausedUntil           time.Time   // end of the backoff; it gets no requests before
 	consecutiveFailures   int         // since the last complete response
@@ -167,6 +168,10 @@
 	if r.permitted {
 		s.runningPermitted--
 	}
+	if r.Streamed {
+		s.runningStreamed--
+		t.runningStreamed--
+	}
 	s.recordLoad(now, t, r, result)
 	switch result.Outcome {
 	case Answered:
