Count and log the wait of requests that are rejected in the queue

Operators saw: waited_ms 0 beside took_ms 1445 for requests that were rejected after a wait, and no wait in queue_seconds.

Cause: the wait was set only when a request was sent to a target.

Change: a request that the scheduler rejects before its first attempt gets the time since it was queued. TestRejectedRequestsCountTheirWait failed before and passes.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -18,6 +18,7 @@
 // attempt waits for a slot and sends the request to one target. It reports
 // whether the request is finished.
 func (q *request) attempt(ctx context.Context) bool {
+	queued := time.Now()
 	d, ok := q.service.acquire(ctx, q.scheduled, q.queued)
 	q.queued = true
 	if !ok {
@@ -28,6 +29,9 @@
 		return false
 	}
 	if d.rejected {
+		if q.sends == 0 {
+			q.queueTime = time.Since(queued)
+		}
 		q.finishRejected(d.rejection)
 		return true
 	}
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -58,7 +58,7 @@
 	sends        int                // attempts sent to targets
 	retryTaken   bool               // a retry was taken from the budget of a host, and the request has not been sent since
 	possibleRuns int                // attempts that a target may have run
-	queueTime    time.Duration      // time from the arrival at the scheduler to the first attempt
+	queueTime    time.Duration      // time from the arrival at the scheduler to the first attempt or the rejection
 	stream       *stream            // of the last attempt; nil if the body was not streamed
 	endMemory    func()             // ends the use of the request's memory
 	fallback     *exchange.Response // 5xx response of the last retried attempt, sent if the retries yield no response to pass on
--- a/edge/refusals_test.go
+++ b/edge/refusals_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/redwingtally/redwingtally/internal/standin"
 	"github.com/redwingtally/redwingtally/platform"
 )
 
@@ -29,3 +32,29 @@
 	c.Check(string(body), qt.Contains, `redwingtally_refusals_total{reason="no_target",route="/holders/",service="stock"} 1`)
 	c.Check(string(body), qt.Not(qt.Contains), `reason="no_route"`)
 }
+
+// Requests that were rejected after a wait counted as if they had not waited, in the metrics and in the log.
+func TestRejectedRequestsCountTheirWait(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(t, 1)
+	h.server(standin.ServerOptions{Name: "a", Service: "stock", Slots: 1})
+	h.configure([]platform.Route{route("stock", "/holders/", platform.AtMostOnce)}, plain("stock"))
+	h.waitServing(0, "/holders/1")
+	waited := func() int { // requests that waited for more than 128 ms
+		return h.metric(0, "redwingtally_queue_seconds_count") - h.metric(0, "redwingtally_queue_seconds_bucket", `le="0.128"`)
+	}
+	c.Assert(waited(), qt.Equals, 0)
+	var wg sync.WaitGroup
+	var rejected atomic.Int64
+	for range 12 {
+		wg.Go(func() {
+			r := h.do(call{path: "/holders/1", method: http.MethodPost, headers: map[string]string{standin.ServiceTimeHeader: "5s"}})
+			if r.status == http.StatusServiceUnavailable && r.body == "starved\n" {
+				rejected.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	c.Assert(rejected.Load() > 0, qt.IsTrue)
+	c.Check(waited() > 0, qt.IsTrue)
+}
