Recognise the backlog of callers that send requests with bodies ahead

Callers saw: 503 deadline_cannot_be_met or queue_full, or no answer within 8 s, for a caller with one request while 500 others sent thousands of requests with bodies ahead.

Cause: only GET and HEAD requests could have a backlog, as held bytes may belong to the body. A request with a body was judged before its body was read, so that the callers of such requests queued like all others, in the order of arrival, and had no pause after a rejection.

Change: a request is judged when its body has been read. 2 kB behind it, held or in the socket, are a backlog, also where net/http alone reads the connection. What binds an ordinary caller then is the room of the targets only.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -161,7 +161,6 @@
 		Keyed:     spec.Keyed && q.meta.HasKey,
 		Objective: q.started.Add(q.route.Objective),
 		Deadline:  q.deadline,
-		Backlog:   hasBacklog(q.r),
 	}
 	if q.relayed != nil {
 		q.applyStated()
@@ -189,6 +188,7 @@
 		return false
 	}
 	q.scheduled.Bytes, q.scheduled.Streamed = max(b.length, b.buffered), b.rest != nil
+	q.scheduled.Backlog = !q.scheduled.Streamed && hasBacklog(q.r) // what follows a streamed body can't be told from its rest
 	q.fingerprint = fingerprint(q.r, &b)
 	return true
 }
--- a/edge/pipeline.go
+++ b/edge/pipeline.go
@@ -236,18 +236,22 @@
 // backlogBytes is the number of held bytes from which a connection has a backlog; heads of callers take some 200 bytes.
 const backlogBytes = 2 << 10
 
-// hasBacklog reports whether the caller of r has sent many further requests on its connection: half of what may be passed on
-// ahead, or more than is held.
+// hasBacklog reports whether the caller of r, whose body was read, has sent many further requests on its connection: half of what
+// may be passed on ahead, or more than is held.
 func hasBacklog(r *http.Request) bool {
-	if r.Method != http.MethodGet && r.Method != http.MethodHead {
-		return false // held bytes may be of the body
-	}
 	c, _ := callerConn(r)
 	if c == nil || c.server.limits.requests == 0 {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ahead() >= c.server.limits.requests/2 || len(c.held) >= backlogBytes ||
-		(c.pipe != nil || len(c.held) > 0) && platform.HasUnread(c.TCPConn)
+	switch {
+	case c.ahead() >= c.server.limits.requests/2, len(c.held) >= backlogBytes:
+		return true
+	case c.pipe != nil, c.bodyless && len(c.held) > 0:
+		return platform.HasUnread(c.TCPConn)
+	case r.ContentLength != 0, c.mode == modePlain, len(c.held) > 0:
+		return len(c.held)+platform.UnreadBytes(c.TCPConn) >= backlogBytes
+	}
+	return false
 }
