Close connections with a backlog after their responses when nearly all are taken

Callers saw: new connections closed unread for seconds while others, as many as a host serves, each had hundreds of requests ahead.

Cause: such a connection is never idle, so that none was closed for a new one.

Change: from 15/16 of the bound on, a connection with a backlog is closed after the response to the last request that was passed on; the requests behind it count as not read. Only as many are closed as exceed that part of the bound, and a caller that waits for each response is not affected.

--- a/edge/connbound.go
+++ b/edge/connbound.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync"
 	"syscall"
 	"time"
 
@@ -21,6 +22,8 @@
 	minHeaderWait = time.Second
 	// minBodyWait is how long nothing must have arrived of a body before its connection is closed for another one.
 	minBodyWait = time.Second
+	// crowdedShare is the part of the bound that is kept free by closing connections with a backlog after their responses.
+	crowdedShare = 16
 	// connLogInterval is the least time between two log lines about the bound.
 	connLogInterval = time.Second
 )
@@ -94,10 +97,37 @@
 // connBound is the bound on the connections of a connServer.
 type connBound struct {
 	limit    int // 0 means none
+	mu       sync.Mutex
 	loggedAt time.Time
 	closed   int // since the last log line
 }
 
+// giveWay reports whether a connection is closed after its responses so that other callers find room. One with a backlog is if
+// nearly as many as the bound allows are open, and remains so.
+func (c *trackedConn) giveWay(backlog bool) bool {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if backlog && !c.givesWay && s.bound.limit > 0 && len(s.conns)-s.givingWay > s.bound.limit-s.bound.limit/crowdedShare {
+		c.givesWay = true
+		s.givingWay++
+	}
+	return c.givesWay
+}
+
+// recordEnded counts a connection that was closed because of the bound, and logs it at a bounded rate.
+func (s *connServer) recordEnded(reason string) {
+	s.metrics.ConnectionsEnded.WithLabelValues(reason).Inc()
+	b := &s.bound
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed++
+	if now := time.Now(); now.Sub(b.loggedAt) >= connLogInterval {
+		s.log.Warn(s.part+": Bound on connections was reached.", "limit", b.limit, "open", len(s.open()), "closed", b.closed, "reason", reason)
+		b.loggedAt, b.closed = now, 0
+	}
+}
+
 // makeRoom closes a connection if the bound is reached. It returns false if there is none that may be closed. It is called
 // by the goroutine that accepts connections.
 func (s *connServer) makeRoom() bool {
@@ -124,12 +154,7 @@
 		reason = map[connActivity]string{connIdle: "idle", connReceiving: "header", connReceivingBody: "body"}[views[index].activity]
 		conns[index].evict(views[index].activity)
 	}
-	s.bound.closed++
-	s.metrics.ConnectionsEnded.WithLabelValues(reason).Inc()
-	if now.Sub(s.bound.loggedAt) >= connLogInterval {
-		s.log.Warn(s.part+": Bound on connections was reached.", "limit", s.bound.limit, "open", len(conns), "closed", s.bound.closed, "reason", reason)
-		s.bound.loggedAt, s.bound.closed = now, 0
-	}
+	s.recordEnded(reason)
 	return index >= 0
 }
 
--- a/edge/connserver.go
+++ b/edge/connserver.go
@@ -33,14 +33,15 @@
 // been read already. Requests that callers send before the response to the one before are held, and passed on ahead
 // within limits (see pipeline).
 type connServer struct {
-	server   *http.Server
-	listener net.Listener
-	log      *slog.Logger
-	metrics  *metric.Set
-	part     string        // prefix of log lines
-	served   chan struct{} // closed when no further connection is accepted
-	mu       sync.Mutex
-	conns    map[*trackedConn]struct{}
+	server    *http.Server
+	listener  net.Listener
+	log       *slog.Logger
+	metrics   *metric.Set
+	part      string        // prefix of log lines
+	served    chan struct{} // closed when no further connection is accepted
+	mu        sync.Mutex
+	conns     map[*trackedConn]struct{}
+	givingWay int // of conns, those that make room for others
 
 	limits        aheadLimits // set before serve, as is stopping
 	stopping      func() bool // reports whether no further request is passed on ahead
@@ -83,6 +84,7 @@
 	*net.TCPConn
 	server   *connServer
 	accepted time.Time
+	givesWay bool // makes room for others; the server's mu guards it
 
 	mu        sync.Mutex
 	used      bool      // a request was read
@@ -233,6 +235,9 @@
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		delete(s.conns, c)
+		if c.givesWay {
+			s.givingWay--
+		}
 		s.mu.Unlock()
 		whole := c.head.ended || c.head.bytes == 0 // net/http may have read it with the request before
 		if c.used && whole && !c.handled && !c.answered && !c.left && !c.refused {
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -62,6 +62,7 @@
 	stream       *stream            // of the last attempt; nil if the body was not streamed
 	endMemory    func()             // ends the use of the request's memory
 	fallback     *exchange.Response // 5xx response of the last retried attempt, sent if the retries yield no response to pass on
+	givesWay     bool               // the connection is closed to make room for others
 	outcome      string
 	err          error
 
@@ -294,13 +295,13 @@
 	if q.deadline.IsZero() {
 		boundWriting(q.w, time.Now())
 	}
-	q.closeIfStopping()
+	q.closeIfNeeded()
 	q.stopReceiving()
 	if q.relayed != nil {
 		q.setResult(q.w.Header(), q.rejectionKind(status, reason))
 	}
 	writeRejection(q.w, q.meta.ID, status, reason, retryAfter)
-	if q.scheduled != nil && q.scheduled.Backlog {
+	if q.scheduled != nil && q.scheduled.Backlog && !q.givesWay {
 		q.pauseConnection()
 	}
 	q.recordMetrics(strconv.Itoa(status))
@@ -331,11 +332,18 @@
 	panic(http.ErrAbortHandler)
 }
 
-// closeIfStopping makes the host close the connection after the response if it is stopping, also if the
-// request arrived before. A response with requests behind it that were passed on keeps the connection open.
-func (q *request) closeIfStopping() {
-	if q.edge.draining.Load() && mayCloseAfter(q.r) {
-		q.w.Header().Set("Connection", "close")
+// closeIfNeeded makes the host close the connection after the response if it is stopping, also if the request arrived before, or
+// if the connection gives way to others. A response with requests behind it that were passed on keeps the connection open;
+// requests that were not passed on count as not read.
+func (q *request) closeIfNeeded() {
+	c, _ := callerConn(q.r)
+	q.givesWay = c != nil && q.scheduled != nil && c.giveWay(q.scheduled.Backlog)
+	if !q.givesWay && !q.edge.draining.Load() || !mayCloseAfter(q.r) {
+		return
+	}
+	q.w.Header().Set("Connection", "close")
+	if q.givesWay {
+		c.server.recordEnded("backlog")
 	}
 }
 
@@ -345,7 +353,7 @@
 	q.outcome = "answered_" + strconv.Itoa(resp.Status)
 	h := q.w.Header()
 	exchange.CopyEndToEndHeaders(h, resp.Header)
-	q.closeIfStopping()
+	q.closeIfNeeded()
 	if q.relayed != nil { // after the copy, so that a target neither removes nor forges the result
 		if resp.Signed {
 			platform.CopySignature(h, resp.Header) // the sender drops a success without it, also if Connection names it
--- a/edge/pipeline.go
+++ b/edge/pipeline.go
@@ -218,7 +218,7 @@
 }
 
 // mayCloseAfter reports whether the response to r may close the connection: no request behind it was passed
-// on. If so, none will be.
+// on. No further one will be; the last response of those that were closes the connection then.
 func mayCloseAfter(r *http.Request) bool {
 	c, m := callerConn(r)
 	if c == nil {
@@ -226,11 +226,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n := c.ahead(); n > 0 && c.pipe.queue[n-1] != m {
-		return false
-	}
 	c.lastResponse = true
-	return true
+	n := c.ahead()
+	return n == 0 || c.pipe.queue[n-1] == m
 }
 
 // backlogBytes is the number of held bytes from which a connection has a backlog; heads of callers take some 200 bytes.
