Leave descriptors for the store and targets when all callers have requests

Callers saw: no answer for 30 s to an ordinary request on a host with 600 descriptors, while 330 others did not read streamed responses.

Cause: callers' connections could take half of the descriptors. Each of their requests may hold another one to a target, which left none for the store, other hosts and files, nor for the request of one more caller.

Change: 256 descriptors, or a quarter if there are few, are not for callers and their requests; half of the others is the bound on connections. TestMaxCallerConns has the lower bounds: 1,922 with 4,100 descriptors instead of 2,050; hosts whose memory binds keep theirs.

--- a/edge/connbound.go
+++ b/edge/connbound.go
@@ -12,8 +12,9 @@
 	// connMemory is what a connection takes without its request: buffers, stacks and the kernel's structures that the process
 	// accounts for.
 	connMemory = 32 << 10
-	// callerDescriptors is the part of the process's descriptors for callers. The others are for targets, hosts and the store.
-	callerDescriptors = 2
+	// ownDescriptors are for the store, other hosts, files and idle connections to targets; at most a quarter of all. Of the
+	// others each caller has two: its connection and one to a target.
+	ownDescriptors = 256
 	// minConnIdle is how long a connection must have been idle before it is closed for another one. The first request of a new
 	// connection may be under way.
 	minConnIdle = 100 * time.Millisecond
@@ -33,7 +34,8 @@
 	if s.MaxConnections > 0 {
 		return s.MaxConnections
 	}
-	return max(1, int(min(uint64(planMemory(s).conns/connMemory), descriptors/callerDescriptors)))
+	forCallers := (descriptors - min(ownDescriptors, descriptors/4)) / 2
+	return max(1, int(min(uint64(planMemory(s).conns/connMemory), forCallers)))
 }
 
 // descriptorLimit returns the number of descriptors that the process may open.
--- a/edge/connbound_test.go
+++ b/edge/connbound_test.go
@@ -50,8 +50,8 @@
 		want        int
 	}{
 		{"small host", 144, 0, 3075, 1152},
-		{"large host", 536, 0, 4100, 2050},
-		{"few descriptors", 144, 0, 100, 50},
+		{"large host", 536, 0, 4100, 1922},
+		{"few descriptors", 144, 0, 100, 37},
 		{"no descriptors", 144, 0, 1, 1},
 		{"set", 144, 7, 3075, 7},
 	}
