Close connections whose responses are not read when the bound on connections is reached

Callers saw: new connections closed unread while as many others as a host serves did not read their responses, until 5 s after the deadlines of these.

Cause: a connection with a response counted as busy whatever its caller did. The rest of a streamed response was passed on by the ReadFrom of the TCP connection, so that nothing knew of its writes, with a buffer of 32 kB that no budget counted.

Change: a connection whose caller has not taken what is being written for 2 s may be closed for a new one, after all that send nothing. Its response ends short, which promises nothing. The rest of a response is copied by the host itself, in 32 kB of the memory for responses, or in 4 kB if there is none.

--- a/edge/connbound.go
+++ b/edge/connbound.go
@@ -23,6 +23,9 @@
 	minHeaderWait = time.Second
 	// minBodyWait is how long nothing must have arrived of a body before its connection is closed for another one.
 	minBodyWait = time.Second
+	// minWriteWait is how long a caller must not have taken the bytes of a response before its connection is closed for another
+	// one.
+	minWriteWait = 2 * time.Second
 	// crowdedShare is the part of the bound that is kept free by closing connections with a backlog after their responses.
 	crowdedShare = 16
 	// connLogInterval is the least time between two log lines about the bound.
@@ -55,6 +58,7 @@
 	connIdle                              // has sent nothing, or nothing since its last request
 	connReceiving                         // the header of a request is incomplete
 	connReceivingBody                     // the body of a request is incomplete
+	connWriting                           // the caller does not take the response
 	connEnding                            // is being closed
 )
 
@@ -67,9 +71,9 @@
 // chooseConnToEnd returns the index of the connection that is closed for a new one, -1 if there is none, and whether it
 // has to be one at all: connections that are being closed make room. It answers callers that open connections and send no
 // request, or only the beginning of one: the longest idle connection is closed first, then the one with the longest incomplete header,
-// then the one whose body has stalled longest.
+// then the one whose body has stalled longest, then the one whose response has not been read for the longest time.
 func chooseConnToEnd(now time.Time, conns []connView, limit int) (index int, needed bool) {
-	waits := map[connActivity]time.Duration{connIdle: minConnIdle, connReceiving: minHeaderWait, connReceivingBody: minBodyWait}
+	waits := map[connActivity]time.Duration{connIdle: minConnIdle, connReceiving: minHeaderWait, connReceivingBody: minBodyWait, connWriting: minWriteWait}
 	longest := map[connActivity]int{}
 	ending := 0
 	for i, c := range conns {
@@ -88,7 +92,7 @@
 	if len(conns)-ending < limit {
 		return -1, false
 	}
-	for _, activity := range []connActivity{connIdle, connReceiving, connReceivingBody} {
+	for _, activity := range []connActivity{connIdle, connReceiving, connReceivingBody, connWriting} {
 		if at, found := longest[activity]; found {
 			return at, true
 		}
@@ -153,7 +157,7 @@
 	}
 	reason := "refused"
 	if index >= 0 {
-		reason = map[connActivity]string{connIdle: "idle", connReceiving: "header", connReceivingBody: "body"}[views[index].activity]
+		reason = map[connActivity]string{connIdle: "idle", connReceiving: "header", connReceivingBody: "body", connWriting: "response"}[views[index].activity]
 		conns[index].evict(views[index].activity)
 	}
 	s.recordEnded(reason)
@@ -176,6 +180,8 @@
 	switch {
 	case c.ending || c.evicted:
 		return connView{activity: connEnding}, nil
+	case !c.writingSince.IsZero():
+		return connView{connWriting, c.writingSince}, nil
 	case !c.awaitsRequest():
 		return connView{connBusy, c.lastRead}, c.memory
 	case c.receiving:
@@ -186,8 +192,8 @@
 	return connView{connIdle, c.accepted}, nil
 }
 
-// evict closes a connection that has been idle, unless bytes have arrived just now, or one whose request is incomplete. Nothing of
-// such a request was passed on.
+// evict closes a connection that has been idle, unless bytes have arrived just now, one whose request is incomplete, or one whose
+// response is not read. Nothing of an incomplete request was passed on.
 func (c *trackedConn) evict(seen connActivity) {
 	memory := c.beginEviction(seen)
 	if memory == nil || !memory.refuseIncomplete() {
@@ -206,6 +212,10 @@
 	case seen == connIdle:
 		c.end()
 		return nil
+	case seen == connWriting:
+		c.evicted = true
+		_ = c.SetWriteDeadline(expired) // fails only on a closed connection
+		return nil
 	case c.awaitsRequest():
 		c.evicted = true
 		_ = c.TCPConn.SetReadDeadline(expired) // fails only on a closed connection
--- a/edge/connbound_test.go
+++ b/edge/connbound_test.go
@@ -29,6 +29,8 @@
 		{"longest stalled body", []connView{view(connReceivingBody, minBodyWait), view(connReceivingBody, minute)}, 1, true},
 		{"body under way", []connView{view(connReceivingBody, minBodyWait-1), view(connBusy, minute)}, -1, true},
 		{"header before body", []connView{view(connReceivingBody, minute), view(connReceiving, minHeaderWait)}, 1, true},
+		{"response not read", []connView{view(connWriting, minWriteWait), view(connBusy, minute)}, 0, true},
+		{"response under way", []connView{view(connWriting, minWriteWait-1), view(connBusy, minute)}, -1, true},
 		{"being closed", []connView{view(connEnding, minute), view(connBusy, minute)}, -1, false},
 		{"not enough being closed", []connView{view(connEnding, minute), view(connBusy, minute), view(connIdle, minute)}, 2, true},
 	}
--- a/edge/connserver.go
+++ b/edge/connserver.go
@@ -112,6 +112,7 @@
 	aborted        atomic.Bool   // net/http has ended the read
 	receivingSince time.Time     // when the first bytes of the next request were read; valid while receiving
 	lastRead       time.Time     // when bytes were last received
+	writingSince   time.Time     // start of the write in progress; zero if there is none
 	evicted        bool          // the connection is closed for another one
 	refused        bool          // the header of the last request was refused
 }
@@ -162,9 +163,13 @@
 // Write records that the connection carries an answer.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	c.answered = true
+	c.answered, c.writingSince = true, time.Now()
 	c.mu.Unlock()
-	return c.TCPConn.Write(p)
+	n, err := c.TCPConn.Write(p)
+	c.mu.Lock()
+	c.writingSince = time.Time{}
+	c.mu.Unlock()
+	return n, err
 }
 
 // resume reports whether bytes arrived just when the connection was ended, which then goes on.
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -360,7 +360,7 @@
 		}
 		q.setResult(h, relay.Response)
 	}
-	if err := writeResponse(q.w, resp); err != nil {
+	if err := writeResponse(q.w, resp, q.edge.responses); err != nil {
 		q.err = err
 		q.abort("answer_cut_short")
 	}
--- a/edge/response.go
+++ b/edge/response.go
@@ -10,9 +10,16 @@
 	"github.com/redwingtally/redwingtally/platform"
 )
 
+const (
+	// copyBuffer is the size in bytes of the pieces in which the rest of a response is passed on, and minCopyBuffer that while there
+	// is no memory.
+	copyBuffer    = 32 << 10
+	minCopyBuffer = 4 << 10
+)
+
 // writeResponse sends a target's response, whose headers are in w, to the caller. It
 // returns an error if the response could not be passed on completely.
-func writeResponse(w http.ResponseWriter, resp *exchange.Response) error {
+func writeResponse(w http.ResponseWriter, resp *exchange.Response, memory *responseBudget) error {
 	defer resp.Close()
 	if resp.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
@@ -25,7 +32,18 @@
 	if resp.Rest == nil {
 		return nil
 	}
-	_, err := io.Copy(w, resp.Rest)
+	return copyRest(w, resp.Rest, memory)
+}
+
+// copyRest copies the rest of a response to the caller in counted memory. It does not use the ReadFrom of w, which writes past
+// trackedConn.
+func copyRest(w io.Writer, rest io.Reader, memory *responseBudget) error {
+	size := minCopyBuffer
+	if memory.Reserve(copyBuffer) {
+		defer memory.Release(copyBuffer)
+		size = copyBuffer
+	}
+	_, err := io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{rest}, make([]byte, size))
 	return err
 }
 
--- a/soak/untrusted/crowds_test.go
+++ b/soak/untrusted/crowds_test.go
@@ -145,3 +145,17 @@
 		})
 	}
 }
+
+// Responses that are not read on all connections that a daemon serves: each new connection was closed until the deadlines of the
+// responses.
+func TestUnreadResponsesOnAllConnections(t *testing.T) {
+	h := startHost(t, hostOptions{respond: 8 << 20, full: true, descriptors: 600})
+	gather(t, h, 330, func(m *member) { m.write(m.head("GET")) })
+	for range 10 { // a caller that comes back
+		if h.ordinary() == nil {
+			break
+		}
+		time.Sleep(time.Second)
+	}
+	h.check()
+}
