--- a/soak/untrusted/crowds_test.go
+++ b/soak/untrusted/crowds_test.go
@@ -110,8 +110,8 @@
 	}
 }
 
-// All that untrusted callers send, at the same time, on a host with the memory of the smallest ones and on one of the usual
-// size, on more connections than it serves.
+// All that untrusted callers send, at the same time, on a host with the memory of the smallest ones, with and without their
+// little processor time, and on one of the usual size, on more connections than it serves.
 func TestMixedCrowd(t *testing.T) {
 	chunk := fmt.Sprintf("%x\r\n%s", legalBody, strings.Repeat("x", legalBody-1))
 	lines := shortLines(maxHeaderBytes - otherLines)
@@ -136,10 +136,17 @@
 			m.write(m.head("PUT", chunked, standin.ServiceTimeHeader+": 1m") + "1\r\nx\r\n0\r\n" + strings.Join(lines[:600], "\r\n") + "\r\n\r\n")
 		},
 	}
-	for _, memory := range []int{144, 284} {
-		t.Run(fmt.Sprint(memory, " MB"), func(t *testing.T) {
-			h := startHost(t, hostOptions{memory: memory, slots: 20, full: true})
-			gather(t, h, 8*memory+50, func(m *member) { kinds[m.n%len(kinds)](m) })
+	tests := []struct {
+		memory int
+		share  float64 // of a core; 0 means all of it
+	}{{144, 0}, {144, 0.12}, {284, 0}}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.memory, " MB, share ", test.share), func(t *testing.T) {
+			h := startHost(t, hostOptions{memory: test.memory, slots: 20, full: true})
+			if test.share > 0 {
+				h.slowDown(test.share)
+			}
+			gather(t, h, connectionsPerMB*test.memory+50, func(m *member) { kinds[m.n%len(kinds)](m) })
 			h.checkServed(ordinaryPath)
 			h.check()
 		})
--- a/soak/untrusted/host_test.go
+++ b/soak/untrusted/host_test.go
@@ -125,6 +125,28 @@
 	return h
 }
 
+// slowDown lets the daemon run for a share of the time only, until the test ends. Hosts have as little as 0.12 cores.
+func (h *host) slowDown(share float64) {
+	const period = 100 * time.Millisecond
+	running := time.Duration(share * float64(period))
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	h.t.Cleanup(func() { close(stop); <-stopped })
+	go func() {
+		defer close(stopped)
+		for {
+			_ = h.cmd.Process.Signal(syscall.SIGCONT) // fails once the process has ended, which a check reports
+			time.Sleep(running)
+			_ = h.cmd.Process.Signal(syscall.SIGSTOP)
+			select {
+			case <-stop:
+				_ = h.cmd.Process.Signal(syscall.SIGCONT)
+				return
+			case <-time.After(period - running):
+			}
+		}
+	}()
+}
+
 // keepDescriptors keeps the daemon from inheriting descriptors of the test's process: stand-ins of earlier tests leave sockets
 // that are not closed on exec, which would count as the daemon's.
 func keepDescriptors(t *testing.T) {
