Bound the time for which the rest of a refused request's body is read

Callers saw: new connections closed unread, for as long as others, as many as a host serves, sent requests without a route or ID whose bodies stopped. These callers got no answer either.

Cause: net/http reads the body of a request that its handler has answered, up to 256 kB, before it writes the answer. No deadline was set where a request is refused without its body, so that the connection stayed busy for ever.

Change: the read deadline of such a request is the one that refused bodies have, 500 ms. If it passes, the answer is written and the connection closed.

--- a/edge/handler.go
+++ b/edge/handler.go
@@ -44,6 +44,7 @@
 	route       *routing.Route
 	service     *service
 	body        body
+	bodyRead    bool // the whole body, or the part before its stream, was received
 	started     time.Time
 	deadline    time.Time
 	fingerprint quarantine.Fingerprint
@@ -188,6 +189,7 @@
 		q.rejectBody(err)
 		return false
 	}
+	q.bodyRead = true
 	q.scheduled.Bytes, q.scheduled.Streamed = max(b.length, b.buffered), b.rest != nil
 	q.scheduled.Backlog = !q.scheduled.Streamed && hasBacklog(q.r) // what follows a streamed body can't be told from its rest
 	q.fingerprint = fingerprint(q.r, &b)
@@ -243,12 +245,18 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(t.Add(writeGrace)) // on failure a slow caller blocks only its own connection
 }
 
-// stopReceiving ends the receipt of a streamed body whose request is over. The server would wait for the rest.
+// stopReceiving bounds the receipt of a body whose request is over: the server waits for the rest of a streamed body, and reads
+// and discards a part of one that was not read.
 func (q *request) stopReceiving() {
-	if rest, ok := q.body.rest.(*streamedRest); ok && !rest.isComplete() {
+	rest, streamed := q.body.rest.(*streamedRest)
+	switch {
+	case streamed && !rest.isComplete():
 		q.w.Header().Set("Connection", "close")
-		_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(discardTime)) // on failure the deadline of the body applies
+	case !q.bodyRead && q.r.ContentLength != 0:
+	default:
+		return
 	}
+	_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(discardTime)) // on failure the deadline of the body applies
 }
 
 // serve sends the request until it is finished. It rejects requests that are
--- a/soak/untrusted/crowds_test.go
+++ b/soak/untrusted/crowds_test.go
@@ -178,3 +178,22 @@
 	})
 	h.check()
 }
+
+// Bodies that stop of requests that are refused without their body: the server waited for the rest without a bound.
+func TestRefusedBodiesThatStop(t *testing.T) {
+	tests := []struct{ name, from, to string }{
+		{"no route", "PUT " + crowdPath, "PUT /unknown/"},
+		{"no request ID", "crowd-", "\r\nNothing: "},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := startHost(t, hostOptions{full: true})
+			gather(t, h, 600, func(m *member) {
+				head := strings.Replace(m.head("PUT", "Content-Length: 4000"), test.from, test.to, 1)
+				m.write(head + strings.Repeat("x", 3999))
+			})
+			h.checkServed(ordinaryPath)
+			h.check()
+		})
+	}
+}
