Count trickling bodies as stalled when the bound on connections is reached

Callers saw: new connections closed unread while as many others as a host serves sent their bodies byte by byte, until the deadlines of these.

Cause: any byte of a body counted as progress.

Change: a body has stalled if less than 512 bytes of it arrive in a second, counted from the begin of its request.

--- a/edge/connbound.go
+++ b/edge/connbound.go
@@ -24,8 +24,10 @@
 	// minHeaderWait is how long the header of a request must have been incomplete before its connection is closed for another
 	// one. A lost packet is sent again within a second.
 	minHeaderWait = time.Second
-	// minBodyWait is how long nothing must have arrived of a body before its connection is closed for another one.
-	minBodyWait = time.Second
+	// minBodyWait is how long less than minBodyProgress bytes must have arrived of a body before its connection is closed for
+	// another one.
+	minBodyWait     = time.Second
+	minBodyProgress = 512
 	// minWriteWait is how long a caller must not have taken the bytes of a response before its connection is closed for another
 	// one.
 	minWriteWait = 2 * time.Second
@@ -186,7 +188,7 @@
 	case !c.writingSince.IsZero():
 		return connView{connWriting, c.writingSince}, nil
 	case !c.awaitsRequest():
-		return connView{connBusy, c.lastRead}, c.memory
+		return connView{connBusy, c.progressed}, c.memory
 	case c.receiving:
 		return connView{connReceiving, c.receivingSince}, nil
 	case c.used:
@@ -195,6 +197,13 @@
 	return connView{connIdle, c.accepted}, nil
 }
 
+// recordProgress records that n bytes were received. The caller holds c.mu.
+func (c *trackedConn) recordProgress(n int) {
+	if c.progress += n; c.progress >= minBodyProgress {
+		c.progressed, c.progress = time.Now(), 0
+	}
+}
+
 // evict closes a connection that has been idle, unless bytes have arrived just now, one whose request is incomplete, or one whose
 // response is not read. Nothing of an incomplete request was passed on.
 func (c *trackedConn) evict(seen connActivity) {
--- a/edge/connserver.go
+++ b/edge/connserver.go
@@ -111,7 +111,8 @@
 	changed        chan struct{} // ends its wait
 	aborted        atomic.Bool   // net/http has ended the read
 	receivingSince time.Time     // when the first bytes of the next request were read; valid while receiving
-	lastRead       time.Time     // when bytes were last received
+	progressed     time.Time     // when the request began, or minBodyProgress further bytes of it had been received
+	progress       int           // bytes that were received since then
 	writingSince   time.Time     // start of the write in progress; zero if there is none
 	evicted        bool          // the connection is closed for another one
 	refused        bool          // the header of the last request was refused
@@ -153,7 +154,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
-		c.lastRead = time.Now()
+		c.recordProgress(n)
 		c.received()
 	}
 	c.left = c.left || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
@@ -236,6 +237,7 @@
 			_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection; the next read reports it
 		}
 		c.idleSince, c.used, c.inHead = time.Time{}, true, false
+		c.progressed, c.progress = time.Now(), 0
 		c.readAt, c.handled, c.answered, c.unfinished = time.Now(), false, false, false
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
--- a/soak/untrusted/crowds_test.go
+++ b/soak/untrusted/crowds_test.go
@@ -34,6 +34,23 @@
 	h.check()
 }
 
+// The same bodies byte by byte: none of them ever stops.
+func TestTricklingBodiesOnAllConnections(t *testing.T) {
+	h := startHost(t, hostOptions{full: true})
+	gather(t, h, 600, func(m *member) {
+		if !m.write(m.head("PUT", "Content-Length: 15000")) {
+			return
+		}
+		go func() { // not counted, so that the crowd settles; ends when the connection is closed
+			for _, err := m.Conn.Write([]byte("x")); err == nil; _, err = m.Conn.Write([]byte("x")) {
+				time.Sleep(200 * time.Millisecond)
+			}
+		}()
+	})
+	h.checkServed(ordinaryPath)
+	h.check()
+}
+
 // Streamed bodies that stopped kept the slots of their target until the deadline, and all other requests were refused.
 func TestStreamedBodiesThatStop(t *testing.T) {
 	tests := []struct {
