Let the last response arrive before a connection with unread requests is closed

Callers saw: a reset instead of the end of the last response, when a host that stops or makes room closed a connection on which they had sent further requests behind a chunked body.

Cause: a close with unread bytes resets the connection. The host waited for them only on connections whose requests it splits itself.

--- a/edge/pipeline.go
+++ b/edge/pipeline.go
@@ -195,7 +195,7 @@
 // Close lets the caller receive the last response if requests behind it were read or may be under way.
 func (c *trackedConn) Close() error {
 	c.mu.Lock()
-	linger := !c.left && (c.pipe != nil || len(c.held) > 0 || c.refused)
+	linger := !c.left && (c.pipe != nil || len(c.held) > 0 || c.refused || c.lastResponse && platform.HasUnread(c.TCPConn))
 	c.fail()
 	c.mu.Unlock()
 	if linger && c.CloseWrite() == nil {
--- a/edge/pipeline_test.go
+++ b/edge/pipeline_test.go
@@ -561,3 +561,18 @@
 	close(s.gate("a"))
 	caller.expect("GET /a ", "GET /b ")
 }
+
+// A last response behind which requests are unread must arrive whole: a close with unread bytes resets the connection, also
+// where net/http alone reads it.
+func TestLastResponseArrivesBeforeUnreadRequests(t *testing.T) {
+	s := newPipelineServer(t, testAhead)
+	for range 20 {
+		caller := s.connect()
+		caller.send("PUT /last?close=1&size=100000 HTTP/1.1\r\nHost: quotes.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", strings.Repeat(get("/behind"), 3000))
+		body, closes, err := caller.next()
+		s.c.Assert(err, qt.IsNil)
+		s.c.Check(body, qt.HasLen, 100000)
+		s.c.Check(closes, qt.IsTrue)
+		caller.expectEnd()
+	}
+}
