--- a/edge/memory_test.go
+++ b/edge/memory_test.go
@@ -66,6 +66,7 @@
 	return conn, func() string {
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		c.Assert(err, qt.IsNil)
+		defer func() { _ = resp.Body.Close() }()
 		body, err := io.ReadAll(resp.Body)
 		c.Assert(err, qt.IsNil)
 		return fmt.Sprint(resp.StatusCode, " ", strings.TrimSpace(string(body)))
@@ -146,6 +147,7 @@
 	for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
 		resp, err := http.ReadResponse(reader, nil)
 		c.Assert(err, qt.IsNil)
+		c.Check(resp.Body.Close(), qt.IsNil)
 		c.Check(resp.StatusCode, qt.Equals, want)
 	}
 }
--- a/edge/untrusted_test.go
+++ b/edge/untrusted_test.go
@@ -112,6 +112,7 @@
 				}
 				_, err = io.Copy(io.Discard, resp.Body)
 				c.Assert(err, qt.IsNil)
+				c.Assert(resp.Body.Close(), qt.IsNil)
 				status = resp.StatusCode
 			}
 			c.Check(status, qt.Equals, test.want)
@@ -129,8 +130,8 @@
 		route("stock", "/holders/", platform.AtMostOnce, func(r *platform.Route) { r.Timeout, r.Objective = 20*time.Second, 10*time.Second }),
 	}, plain("stock"))
 	h.waitServing(0, "/holders/1")
-	var conns []net.Conn
-	for n := range 8 { // more than the slots of the target with what the host sends beyond them
+	conns := make([]net.Conn, 0, 8)
+	for n := range cap(conns) { // more than the slots of the target with what the host sends beyond them
 		conn, err := net.Dial("tcp4", h.settings[0].EntryAddress.String())
 		c.Assert(err, qt.IsNil)
 		c.Cleanup(func() { _ = conn.Close() })
@@ -154,6 +155,7 @@
 		}
 		text, err := io.ReadAll(resp.Body)
 		c.Assert(err, qt.IsNil)
+		c.Assert(resp.Body.Close(), qt.IsNil)
 		if resp.StatusCode == http.StatusBadGateway {
 			c.Check(string(text), qt.Equals, "body_stalled\n")
 			stalled++
