Warn at the start if settings let callers take more memory than there is

Operators saw nothing: max_connections and body_memory_mb could be set so that the shares of callers' memory exceed what the process can spare.

Change: the plan takes the set bound on connections into account, the daemon logs the sum at its start, and warns if it exceeds 0.7 of memory_mb, the soft limit of the Go runtime. TestMemoryPlanOfSettings.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -207,8 +207,13 @@
 	if err := e.kernel.Start(ctx); err != nil {
 		return eris.Wrapf(ErrStart, "%v", err)
 	}
+	plan := planMemory(e.settings)
+	if !plan.fits(e.settings) {
+		e.log.Warn("edge: Callers may take more memory than the process has to spare; lower max_connections or body_memory_mb.",
+			"callers_mb", plan.sum()>>20, "memory_mb", e.settings.MemoryMB)
+	}
 	e.log.Info("edge: Started.", "entry", e.settings.EntryAddress.String(), "store", e.settings.StoreAddress.String(),
-		"data_centre", e.settings.DataCentre, "memory_mb", e.settings.MemoryMB, "callers_mb", planMemory(e.settings).sum()>>20)
+		"data_centre", e.settings.DataCentre, "memory_mb", e.settings.MemoryMB, "callers_mb", plan.sum()>>20)
 	return nil
 }
 
--- a/edge/memory.go
+++ b/edge/memory.go
@@ -24,6 +24,9 @@
 	responseShare     = 3
 )
 
+// maxCallerMemory is the part of the process's memory up to which the shares leave room for the program and its garbage.
+const maxCallerMemory = 0.7
+
 // memoryPlan divides the memory of a process. All sizes are in bytes.
 type memoryPlan struct {
 	conns         int64
@@ -40,6 +43,9 @@
 		conns: connShare * part, requests: (smallRequestShare + largeRequestShare) * part, largeRequests: largeRequestShare * part,
 		ahead: aheadShare * part, responses: responseShare * part,
 	}
+	if s.MaxConnections > 0 {
+		p.conns = int64(s.MaxConnections) * connMemory
+	}
 	if s.BodyMemoryMB > 0 {
 		p.requests = int64(s.BodyMemoryMB) << 20
 		p.largeRequests = p.requests * largeRequestShare / (smallRequestShare + largeRequestShare)
@@ -50,6 +56,11 @@
 // sum returns the bytes of all shares.
 func (p memoryPlan) sum() int64 { return p.conns + p.requests + p.ahead + p.responses }
 
+// fits reports whether the shares leave room for the program in the memory of the process. Settings may exceed it.
+func (p memoryPlan) fits(s settings.Edge) bool {
+	return float64(p.sum()) <= maxCallerMemory*float64(int64(s.MemoryMB)<<20)
+}
+
 // A responseBudget bounds the bytes of responses that are in memory. A response that gets no memory is passed on as it
 // arrives.
 type responseBudget struct {
--- a/edge/memory_test.go
+++ b/edge/memory_test.go
@@ -24,8 +24,7 @@
 			c := qt.New(t)
 			s := settings.Edge{MemoryMB: memory}
 			p := planMemory(s)
-			sum := p.sum()
-			c.Check(sum <= int64(memory)<<20*7/10, qt.IsTrue, qt.Commentf("%d bytes together", sum))
+			c.Check(p.fits(s), qt.IsTrue, qt.Commentf("%d bytes together", p.sum()))
 			conns := int64(maxCallerConns(s, 1<<20))
 			c.Check(conns*connMemory <= p.conns, qt.IsTrue)
 			c.Check(conns*smallRequest <= p.requests-p.largeRequests, qt.IsTrue, qt.Commentf("%d connections", conns))
@@ -33,6 +32,26 @@
 	}
 }
 
+// Settings that let callers take more memory than there is must be noticed at the start.
+func TestMemoryPlanOfSettings(t *testing.T) {
+	tests := []struct {
+		name string
+		s    settings.Edge
+		fits bool
+	}{
+		{"defaults", settings.Edge{MemoryMB: 144}, true},
+		{"connections", settings.Edge{MemoryMB: 144, MaxConnections: 1300}, false},
+		{"few connections", settings.Edge{MemoryMB: 144, MaxConnections: 100}, true},
+		{"bodies", settings.Edge{MemoryMB: 144, BodyMemoryMB: 72}, false},
+		{"bodies in place of connections", settings.Edge{MemoryMB: 144, BodyMemoryMB: 60, MaxConnections: 500}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Check(t, planMemory(test.s).fits(test.s), qt.Equals, test.fits)
+		})
+	}
+}
+
 // headServer serves requests with a budget for 64 kB, of which large ones may use 48 kB.
 func headServer(c *qt.C, timeout time.Duration) (*connServer, *requestBudget) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
