Keep open connections near their bound while others are being closed

Cause: a connection that is being closed for another one did not count towards the bound. It stays open until its caller has had half a second to read the answer, so that a host took as many beyond the bound as it closed in that time; the less processor time, the more.

Change: connections are closed for new ones from 15/16 of the bound on, up to two for each, and all open ones count. Beyond the bound a new one is taken only while others are being closed, up to 1/128 of it.

--- a/edge/connbound.go
+++ b/edge/connbound.go
@@ -31,8 +31,12 @@
 	// minWriteWait is how long a caller must not have taken the bytes of a response before its connection is closed for another
 	// one.
 	minWriteWait = 2 * time.Second
-	// crowdedShare is the part of the bound that is kept free by closing connections with a backlog after their responses.
+	// crowdedShare is the part of the bound that is kept free by closing connections for others.
 	crowdedShare = 16
+	// endedAtOnce is the number of connections that are closed for one new one, so that those that are being closed soon leave
+	// room. At most a part of the bound, endingShare, may be open beyond it meanwhile.
+	endedAtOnce = 2
+	endingShare = 128
 	// connLogInterval is the least time between two log lines about the bound.
 	connLogInterval = time.Second
 )
@@ -113,13 +117,16 @@
 	closed   int // since the last log line
 }
 
+// crowded returns the number of open connections from which some are closed for others.
+func (b *connBound) crowded() int { return b.limit - b.limit/crowdedShare }
+
 // giveWay reports whether a connection is closed after its responses so that other callers find room. One with a backlog is if
 // nearly as many as the bound allows are open, and remains so.
 func (c *trackedConn) giveWay(backlog bool) bool {
 	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if backlog && !c.givesWay && s.bound.limit > 0 && len(s.conns)-s.givingWay > s.bound.limit-s.bound.limit/crowdedShare {
+	if backlog && !c.givesWay && s.bound.limit > 0 && len(s.conns)-s.givingWay > s.bound.crowded() {
 		c.givesWay = true
 		s.givingWay++
 	}
@@ -139,8 +146,9 @@
 	}
 }
 
-// makeRoom closes a connection if the bound is reached. It returns false if there is none that may be closed. It is called
-// by the goroutine that accepts connections.
+// makeRoom closes a connection if few may still be opened, and reports whether another one may be. Connections that are being
+// closed count until they are, which takes a while for callers that get an answer. It is called by the goroutine that accepts
+// connections.
 func (s *connServer) makeRoom() bool {
 	if s.bound.limit == 0 {
 		return true
@@ -148,7 +156,7 @@
 	s.mu.Lock()
 	count := len(s.conns)
 	s.mu.Unlock()
-	if count < s.bound.limit {
+	if count < s.bound.crowded() {
 		return true
 	}
 	now, conns := time.Now(), s.open()
@@ -156,19 +164,27 @@
 	for i, c := range conns {
 		views[i] = c.view()
 	}
-	index, needed := chooseConnToEnd(now, views, s.bound.limit)
-	if !needed {
-		return true
-	}
-	reason := "refused"
-	if index >= 0 {
-		reason = map[connActivity]string{connIdle: "idle", connReceiving: "header", connReceivingBody: "body", connWriting: "response"}[views[index].activity]
+	ended := 0
+	for range endedAtOnce {
+		index, _ := chooseConnToEnd(now, views, s.bound.crowded())
+		if index < 0 {
+			break
+		}
 		conns[index].evict(views[index].activity)
+		s.recordEnded(endReasons[views[index].activity])
+		views[index].activity = connEnding
+		ended++
 	}
-	s.recordEnded(reason)
-	return index >= 0
+	if count < s.bound.limit || ended > 0 && count < s.bound.limit+max(1, s.bound.limit/endingShare) {
+		return true
+	}
+	s.recordEnded("refused")
+	return false
 }
 
+// endReasons are the reasons for which connections are closed for others, by what they did.
+var endReasons = map[connActivity]string{connIdle: "idle", connReceiving: "header", connReceivingBody: "body", connWriting: "response"}
+
 // view returns what a connection does.
 func (c *trackedConn) view() connView {
 	v, memory := c.viewWithoutBody()
