--- a/edge/connbound.go
+++ b/edge/connbound.go
@@ -9,11 +9,10 @@
 )
 
 const (
-	// connMemory is what a connection takes without its request: buffers, stacks and the kernel's structures that the process
-	// accounts for.
+	// connMemory is what a connection is charged without its request: buffers and stacks.
 	connMemory = 32 << 10
-	// receiveBuffer is the receive buffer of a caller's connection in the kernel, which counts unread bytes as memory of the
-	// process. It allows 0.8 MB/s with a round trip of 20 ms.
+	// receiveBuffer is the receive buffer of a caller's connection in the kernel. Unread bytes count as memory of the process.
+	// It allows 0.8 MB/s with a round trip of 20 ms.
 	receiveBuffer = 16 << 10
 	// ownDescriptors are for the store, other hosts, files and idle connections to targets; at most a quarter of all. Of the
 	// others each caller has two: its connection and one to a target.
