Show when a target states that it leaves, and what is sent to it then

The header is decoded, each host keeps the notices in a table, logs the first of each process, and logs and counts every attempt at such a target, with the time since the request's arrival, the number of sends and what the entry says. Nothing else uses the notices yet. The stand-in of a target can state that it leaves, in all its responses.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -43,6 +43,7 @@
 	sent := time.Now()
 	target := d.dispatch.Target.Name
 	q.edge.path.sent(target)
+	q.recordLeavingAttempt(d.dispatch.Target)
 	attemptCtx, detach := q.attemptContext(ctx)
 	attemptCtx, done := q.watchStream(attemptCtx, target)
 	response, err := d.client.Do(attemptCtx, q.targetRequest(d.dispatch))
@@ -114,6 +115,7 @@
 	platform.SetTargetHeaders(h, d.Target.Name, time.Until(q.deadline))
 	out := q.outgoing(h)
 	out.Allowed = func() bool { return q.mayStillSend(d) }
+	out.Head = func(stated platform.ResponseMeta) { q.recordStatements(d, stated) }
 	return out
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -80,6 +80,7 @@
 	entryServer     *connServer
 	feed            *feed.Feed
 	rateLimits      *ratelimit.Table
+	notices         *directory.Notices   // of targets that leave
 	dialTarget      platform.DialFunc    // opens the connections to targets
 	permitsWanted   chan struct{}        // a service lacks permits for limited targets
 	path            *pathToTargets       // whether this host is cut off from the targets
@@ -125,6 +126,7 @@
 		crashTable:    quarantine.New(),
 		feed:          feed.New(),
 		rateLimits:    ratelimit.NewTable(),
+		notices:       directory.NewNotices(),
 		dialTarget:    platform.Dial,
 		permitsWanted: make(chan struct{}, 1),
 		path:          newPathToTargets(),
--- /dev/null
+++ b/edge/statements.go
@@ -0,0 +1,36 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/redwingtally/redwingtally/directory"
+	"github.com/redwingtally/redwingtally/platform"
+	"github.com/redwingtally/redwingtally/scheduler"
+)
+
+// recordStatements records what a target states of itself in the head of a response, whatever its status and whether or not
+// its body arrives. Responses of another process state nothing about the target.
+func (q *request) recordStatements(d scheduler.Dispatch, stated platform.ResponseMeta) {
+	if stated.Leaving && stated.FromTarget() {
+		q.edge.recordNotice(d.Target, q.meta.ID)
+	}
+}
+
+// recordNotice records that a target has stated in a response that it leaves.
+func (e *Edge) recordNotice(t platform.Target, request string) {
+	if !e.notices.Add(time.Now(), directory.NoticeOf(t)) {
+		return
+	}
+	e.log.Info("directory: Target states that it leaves.", "target", t.Name, "service", t.Service, "born", t.StartedAt.UnixMilli(),
+		"source", "response", "request", request)
+}
+
+// recordLeavingAttempt counts and logs an attempt at a target that has stated that it leaves.
+func (q *request) recordLeavingAttempt(t platform.Target) {
+	if !q.edge.notices.Has(t) {
+		return
+	}
+	q.edge.metrics.LeavingAttempts.WithLabelValues(q.service.name).Inc()
+	q.edge.log.Info("entry: Request is sent to a target that leaves.", "request", q.meta.ID, "service", q.service.name, "target", t.Name,
+		"listed_draining", t.Draining, "since_arrival_ms", time.Since(q.started).Milliseconds(), "sends", q.sends)
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -222,6 +222,9 @@
 	// Allowed reports whether the request may still be sent. It is called once there is a connection, right before the first
 	// byte is written, and makes Do return ErrNotSent if not. It may be nil.
 	Allowed func() bool
+	// Head is called with the head of the response, before its body is read, so that it is known also if the body is slow or
+	// breaks off. It may be nil.
+	Head func(platform.ResponseMeta)
 }
 
 // Response is a target's response.
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -27,6 +27,9 @@
 	if resp.Status < 300 && (!resp.Signed || resp.ID == "") || resp.Header.Get("Content-Encoding") != "" {
 		return nil, eris.Wrapf(ErrInvalidResponse, "status %d: no signature or request ID, or an encoded body", resp.Status)
 	}
+	if x.request.Head != nil {
+		x.request.Head(resp.ResponseMeta)
+	}
 	if endsWithConnection(httpResp) {
 		httpResp.Body = &untilCloseBody{httpResp.Body, x}
 	}
--- a/internal/standin/keys.go
+++ b/internal/standin/keys.go
@@ -17,6 +17,7 @@
 // decodeOrder decodes a grant or a release. It rejects an order that is malformed
 // or addressed to another target.
 func (s *Server) decodeOrder(w http.ResponseWriter, r *http.Request) (platform.Grant, bool) {
+	platform.SetResponseMeta(w.Header(), s.options.Name, platform.ResponseMeta{Leaving: s.leaves()})
 	g, err := platform.DecodeGrant(r.Body)
 	if err != nil || !s.options.Keyed {
 		http.Error(w, "malformed grant or release", http.StatusBadRequest)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -94,6 +94,7 @@
 	runs         []Run
 	arrivals     []time.Time // of all requests of callers, rejected ones included
 	draining     bool
+	leaving      bool
 	faults       ServerFaults
 }
 
@@ -174,6 +175,26 @@
 	s.draining = true
 }
 
+// Leave marks the server as draining, and makes it state in all its responses that it leaves.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining, s.leaving = true, true
+}
+
+// states returns what the server states of itself in every response.
+func (s *Server) states(m platform.ResponseMeta) platform.ResponseMeta {
+	m.RateLimit, m.Load, m.Leaving = s.rateLimit(), s.load(), s.leaves()
+	return m
+}
+
+// leaves reports whether the server states that it leaves.
+func (s *Server) leaves() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // SetFaults replaces the injected faults.
 func (s *Server) SetFaults(f ServerFaults) {
 	s.mu.Lock()
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -50,7 +50,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	call := platform.ReadRequestMeta(r.Header)
 	if expected := platform.ExpectedTarget(r.Header); expected != "" && expected != s.options.Name {
-		platform.SetResponseMeta(w.Header(), s.options.Name, platform.ResponseMeta{ID: call.ID, TargetReplaced: true})
+		platform.SetResponseMeta(w.Header(), s.options.Name, platform.ResponseMeta{ID: call.ID, TargetReplaced: true, Leaving: s.leaves()})
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -91,7 +91,7 @@
 }
 
 func (s *Server) reject(w http.ResponseWriter, id string, status int) {
-	platform.SetResponseMeta(w.Header(), s.options.Name, platform.ResponseMeta{ID: id, NotExecuted: true, RateLimit: s.rateLimit(), Load: s.load()})
+	platform.SetResponseMeta(w.Header(), s.options.Name, s.states(platform.ResponseMeta{ID: id, NotExecuted: true}))
 	w.WriteHeader(status)
 }
 
@@ -184,7 +184,7 @@
 		<-r.Context().Done()
 		return
 	}
-	platform.SetResponseMeta(w.Header(), s.options.Name, platform.ResponseMeta{ID: id, Signed: true, RateLimit: s.rateLimit(), Load: s.load()})
+	platform.SetResponseMeta(w.Header(), s.options.Name, s.states(platform.ResponseMeta{ID: id, Signed: true}))
 	if position < f.UnansweredShare+f.ErrorShare {
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -52,6 +52,8 @@
 	SilentConnections *prometheus.CounterVec
 	// LimitedAttempts counts requests sent to targets that state a rate limit.
 	LimitedAttempts *prometheus.CounterVec
+	// LeavingAttempts counts requests sent to targets that have stated that they leave.
+	LeavingAttempts *prometheus.CounterVec
 	// CompletionRatio observes the response times of targets that state their load, as multiples of the times expected
 	// when the requests were sent.
 	CompletionRatio *prometheus.HistogramVec
@@ -110,6 +112,7 @@
 		TargetConnections: counter("target_connections_total", "Connections opened to targets.", "service"),
 		Quarantined:       counter("set_asides_total", "Requests that were set aside.", "service"),
 		SilentConnections: counter("silent_connections_total", "Connections that were found silent.", "service"),
+		LeavingAttempts:   counter("leaving_attempts_total", "Requests sent to targets that have stated that they leave.", "service"),
 		LimitedAttempts:   counter("limited_attempts_total", "Requests sent to targets that state a rate limit.", "service"),
 		CompletionRatio:   histogram("completion_ratio", "Response time of targets as a multiple of the expected one.", prometheus.ExponentialBuckets(0.125, math.Sqrt2, 15), "service"),
 		RelayedRequests:   counter("relayed_requests_total", "Requests passed on between hosts, by side and result.", "side", "result"),
@@ -132,7 +135,7 @@
 	s.registry.MustRegister(
 		s.Requests, s.QueueSeconds, s.ServiceSeconds, s.Retries, s.QueuedRequests, s.ShardImbalance, s.OwnershipChanges,
 		s.UnownedShards, s.UnownedSeconds, s.StoreCalls, s.ControlBytes, s.ControlHeartbeats, s.TargetConnections, s.Quarantined, s.SilentConnections,
-		s.LimitedAttempts, s.CompletionRatio, s.RelayedRequests, s.CutOff, s.Probes, s.UnhandledRequests,
+		s.LeavingAttempts, s.LimitedAttempts, s.CompletionRatio, s.RelayedRequests, s.CutOff, s.Probes, s.UnhandledRequests,
 		s.RequestsAhead,
 		s.EvacuatedDataCentres, s.EvacuationsIgnored,
 		s.RequestBytes, s.ResponseBytes, s.RequestsRefused, s.HeadersRefused, s.StreamsStalled, s.ConnectionsEnded,
