Send no requests to a target that has stated that it leaves

Cause: a target that leaves says so in its responses, but the directory learned of it from the target's entry only.

A notice now marks the target as draining in the directory, the one place that the schedulers, the coordination and the protection against mass removals read. It holds for the process that made it: name, service and start time must be those of the entry, an older or later entry of that process does not end it, and a new process under the name starts without it. The head of a response counts, whatever its status and whether or not its body arrives; responses to other requests, of another target at the address, or unsigned ones do not.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -116,6 +116,24 @@
 	d.version++
 }
 
+// Drain marks the target whose process made a notice as draining, and reports whether it was not before. Entries of other processes
+// stay as they are.
+func (d *Directory) Drain(n Notice) bool {
+	e, ok := d.entries[n.Target]
+	if !ok || e.target.Draining || NoticeOf(e.target) != n {
+		return false
+	}
+	e.target.Draining = true
+	d.version++
+	return true
+}
+
+// Lists reports whether the directory has the entry of the process that made a notice.
+func (d *Directory) Lists(n Notice) bool {
+	e, ok := d.entries[n.Target]
+	return ok && NoticeOf(e.target) == n
+}
+
 // sameProcess reports whether two entries with the same name describe the same process. An entry of another service
 // may come from another writer.
 func sameProcess(a, b platform.Target) bool {
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/redwingtally/redwingtally/coordination"
@@ -43,6 +44,23 @@
 	return startedAt
 }
 
+// Draining returns the names of the service's targets that get no further requests because they leave.
+func (e *Edge) Draining(service string) []string {
+	s := e.service(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, t := range s.scheduler.TargetStates(time.Now()) {
+		if t.Draining {
+			out = append(out, t.Name)
+		}
+	}
+	return out
+}
+
+// Drains reports whether a target of a service gets no further requests because it leaves.
+func (e *Edge) Drains(service, name string) bool { return slices.Contains(e.Draining(service), name) }
+
 // ActiveRequests returns the number of requests in progress.
 func (e *Edge) ActiveRequests() int64 { return e.activeRequests.Load() }
 
--- a/edge/harness_test.go
+++ b/edge/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -123,6 +124,12 @@
 	return s
 }
 
+// put writes the entry of a target.
+func (h *harness) put(name string, entry json.RawMessage) {
+	_, err := h.store.Put(context.Background(), platform.KindTargets, name, entry, platform.Unconditional())
+	qt.Assert(h.tb, err, qt.IsNil)
+}
+
 // configure writes a configuration with the next version.
 func (h *harness) configure(routes []platform.Route, services ...platform.Service) {
 	h.version++
--- a/edge/relayharness_test.go
+++ b/edge/relayharness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -226,6 +225,5 @@
 		Name: name, StartedAt: time.Now(), Service: service, Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Slots: 64,
 	}, 1)
 	qt.Assert(h.tb, err, qt.IsNil)
-	_, err = h.store.Put(context.Background(), platform.KindTargets, name, entry, platform.Unconditional())
-	qt.Assert(h.tb, err, qt.IsNil)
+	h.put(name, entry)
 }
--- a/edge/statements.go
+++ b/edge/statements.go
@@ -23,6 +23,25 @@
 	}
 	e.log.Info("directory: Target states that it leaves.", "target", t.Name, "service", t.Service, "born", t.StartedAt.UnixMilli(),
 		"source", "response", "request", request)
+	e.mu.Lock()
+	changed := e.targets.Drain(directory.NoticeOf(t))
+	e.mu.Unlock()
+	if changed {
+		e.updateServices()
+	}
+}
+
+// withNotice returns a target as its entry describes it, but draining if its process has stated that it leaves. The entry may be
+// older than the statement.
+func (e *Edge) withNotice(t platform.Target) platform.Target {
+	if !e.notices.Has(t) {
+		return t
+	}
+	if t.Draining {
+		e.notices.Confirm(t)
+	}
+	t.Draining = true
+	return t
 }
 
 // recordLeavingAttempt counts and logs an attempt at a target that has stated that it leaves.
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -293,6 +293,9 @@
 	var crashed []brokenRequest
 	e.mu.Lock()
 	before := e.targets.Version()
+	if err == nil && !o.Deleted {
+		t = e.withNotice(t)
+	}
 	if o.Deleted || err != nil {
 		e.targets.Remove(time.Now(), o.Name)
 	} else {
@@ -356,6 +359,7 @@
 		usable := e.targets.UsableCount(now)
 		e.targets.DeleteExpired(now)
 		e.retainRateLimits(now)
+		e.notices.Retain(now, e.targets.Lists)
 		pacesEnded := e.endPaces(now)
 		changed := usable != e.usableTargets
 		e.usableTargets = usable
