Tell the other hosts that a target has stated that it leaves

What callers saw: while the store is down, a host with few requests learned that a target leaves only from a response of its own, so its next request could be one that ran at the target when that ended.

Rate limits and paces are exchanged by reports and replies; notices were not.

Reports and replies carry the notices that the other side lacks, with a version of the sender's table. A notice is sent once, and not at all if the entry has arrived that says the same, which is the usual case while the store answers; a host reports at once only while it knows that no host reaches the store. Builds before ignore the new fields, and are sent none.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -33,6 +33,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/redwingtally/redwingtally/directory"
 	"github.com/redwingtally/redwingtally/feed"
 	"github.com/redwingtally/redwingtally/internal/clock"
 	"github.com/redwingtally/redwingtally/ownership"
@@ -80,6 +81,9 @@
 	// reported.
 	RateLimits        *ratelimit.Table
 	RateLimitsChanged func([]ratelimit.Limit)
+	// Notices holds the statements of targets that they leave. NoticesAdded is called with those that other hosts sent.
+	Notices      *directory.Notices
+	NoticesAdded func([]directory.Notice)
 	// StoreUnreachable reports whether this host's own calls to the store fail. SetStoreUnavailable receives whether
 	// no host that watches the store reaches it.
 	StoreUnreachable    func() bool
@@ -137,7 +141,7 @@
 	candidateFrom       time.Time     // this process does not take over before then
 	coordinatorClient   *client       // client of the coordinator that this host follows
 	permitClient        *permitClient // the same for permits
-	limitsExchanged     limitsExchange
+	exchanged           tablesExchange
 	lastReply           time.Time           // when a coordinator last replied
 	refusedAt           time.Time           // when it first answered since that it does not coordinate; zero if it has not
 	gaveWayUntil        time.Time           // this process gave way while cut off, and does not take over until then if it still is
--- a/coordination/coordination_test.go
+++ b/coordination/coordination_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/redwingtally/redwingtally/directory"
 	"github.com/redwingtally/redwingtally/feed"
 	"github.com/redwingtally/redwingtally/internal/standin"
 	"github.com/redwingtally/redwingtally/ownership"
@@ -57,6 +58,7 @@
 		Targets: func() Targets { return Targets{} }, StateUpdated: func() {}, Random: func() float64 { return 0.5 },
 		Feed: h.feed, ObjectsChanged: func([]platform.Object) {},
 		RateLimits: ratelimit.NewTable(), RateLimitsChanged: func([]ratelimit.Limit) {},
+		Notices: directory.NewNotices(), NoticesAdded: func([]directory.Notice) {},
 		StoreUnreachable: func() bool { return false }, SetStoreUnavailable: func(bool) {},
 	}
 	for _, f := range change {
--- a/coordination/follower.go
+++ b/coordination/follower.go
@@ -251,7 +251,7 @@
 	defer m.mu.Unlock()
 	m.coordinatorClient, m.permitClient = c, p
 	m.coordinatorVersions = nil
-	m.limitsExchanged = limitsExchange{}
+	m.exchanged = tablesExchange{}
 }
 
 // sendReport sends a report that waits at most wait for a change. The call times
@@ -260,12 +260,12 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+margin)
 	defer cancel()
 	r := m.ownReport(wait)
-	sent := m.addRateLimits(&r)
+	sentLimits, sentNotices := m.addRateLimits(&r), m.addNotices(&r)
 	reply, err := c.CallUnary(ctx, connect.NewRequest(&r))
 	if err != nil {
 		return nil, err
 	}
-	m.receiveRateLimits(reply.Msg, sent)
+	m.receiveTables(reply.Msg, sentLimits, sentNotices)
 	return reply.Msg, nil
 }
 
--- a/coordination/message.go
+++ b/coordination/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/redwingtally/redwingtally/directory"
 	"github.com/redwingtally/redwingtally/feed"
 	"github.com/redwingtally/redwingtally/ownership"
 	"github.com/redwingtally/redwingtally/quarantine"
@@ -42,6 +43,10 @@
 	// which the sender has the coordinator's.
 	RateLimits      []ratelimit.Limit `json:"rate_limits,omitempty"`
 	KnownRateLimits RateLimitsVersion `json:"known_rate_limits"`
+	// Notices are those that were added since the coordinator last received them. KnownNotices is the version up to which the
+	// sender has the coordinator's, of the process that KnownRateLimits names; nil from earlier builds, which know no notices.
+	Notices      []directory.Notice `json:"notices,omitempty"`
+	KnownNotices *uint64            `json:"known_notices,omitempty"`
 	// KnownTerm is the highest term of a coordinator that the sender has followed, or been, before it followed this one.
 	KnownTerm uint64 `json:"known_term,omitempty"`
 	// Watching reports whether the sender watches the store.
@@ -114,6 +119,10 @@
 	// to which they are complete.
 	RateLimits        []ratelimit.Limit `json:"rate_limits,omitempty"`
 	RateLimitsVersion RateLimitsVersion `json:"rate_limits_version"`
+	// Notices are those that the sender lacks, and NoticesVersion the version up to which they are complete, of the process
+	// that RateLimitsVersion names.
+	Notices        []directory.Notice `json:"notices,omitempty"`
+	NoticesVersion uint64             `json:"notices_version,omitempty"`
 	// Relays are the hosts to which the sender may relay requests. RelaysVersion is the version of this list; if it is 0, the
 	// reply contains no list and the sender keeps the one it has.
 	Relays        []Relay `json:"relays,omitempty"`
--- a/coordination/ratelimits.go
+++ b/coordination/ratelimits.go
@@ -96,17 +96,19 @@
 	return out, nil
 }
 
-// limitsExchange records up to which versions a host and its coordinator have exchanged rate limits.
-type limitsExchange struct {
-	received RateLimitsVersion // version of the coordinator's table that this host has
-	sent     uint64            // version of this host's table that the coordinator has
+// tablesExchange records up to which versions a host and its coordinator have exchanged their tables of rate limits and notices.
+type tablesExchange struct {
+	received        RateLimitsVersion // version of the coordinator's rate limits that this host has
+	sent            uint64            // version of this host's rate limits that the coordinator has
+	receivedNotices uint64            // the same for notices, of the process that received names
+	sentNotices     uint64
 }
 
 // addRateLimits adds to a report the limits that the coordinator lacks and returns the version of this
 // host's table up to which they are complete.
 func (m *Member) addRateLimits(r *Report) uint64 {
 	m.mu.Lock()
-	exchanged := m.limitsExchanged
+	exchanged := m.exchanged
 	m.mu.Unlock()
 	r.KnownRateLimits = exchanged.received
 	limits, version := m.options.RateLimits.ChangesSince(time.Now(), exchanged.sent)
@@ -114,18 +116,22 @@
 	return version
 }
 
-// receiveRateLimits applies the limits of a reply to a report that contained those up to version sent.
-func (m *Member) receiveRateLimits(r *Reply, sent uint64) {
+// receiveTables applies the limits and notices of a reply to a report that contained those up to the versions sentLimits and
+// sentNotices.
+func (m *Member) receiveTables(r *Reply, sentLimits, sentNotices uint64) {
 	m.mu.Lock()
-	if process := r.RateLimitsVersion.Process; process != m.limitsExchanged.received.Process {
-		// The process may have replaced another one that this host has exchanged limits with.
-		m.limitsExchanged = limitsExchange{received: RateLimitsVersion{Process: process}}
-		sent = 0
+	x := &m.exchanged
+	if process := r.RateLimitsVersion.Process; process != x.received.Process {
+		// The process may have replaced another one that this host has exchanged its tables with.
+		*x = tablesExchange{received: RateLimitsVersion{Process: process}}
+		sentLimits, sentNotices = 0, 0
 	}
-	m.limitsExchanged.sent = max(m.limitsExchanged.sent, sent)
-	m.limitsExchanged.received.Number = max(m.limitsExchanged.received.Number, r.RateLimitsVersion.Number)
+	x.sent, x.sentNotices = max(x.sent, sentLimits), max(x.sentNotices, sentNotices)
+	x.received.Number = max(x.received.Number, r.RateLimitsVersion.Number)
+	x.receivedNotices = max(x.receivedNotices, r.NoticesVersion)
 	m.mu.Unlock()
 	m.mergeRateLimits(r.RateLimits)
+	m.mergeNotices(r.Notices)
 }
 
 // mergeRateLimits applies limits that another host sent and reports whether any has changed.
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -101,12 +101,14 @@
 		l.notify()
 	}
 	l.mergeRateLimits(r.RateLimits)
+	l.mergeNotices(r.Notices)
 	l.mu.Lock()
 	l.applyReport(r)
 	l.publish()
 	end := time.NewTimer(r.Wait)
 	defer end.Stop()
-	for l.views.newest.Version == r.View && !l.ended && !l.hasObjectsFor(r) && !l.hasRateLimitsFor(r) && !l.needsRelays(r) {
+	for l.views.newest.Version == r.View && !l.ended && !l.hasObjectsFor(r) && !l.hasRateLimitsFor(r) && !l.hasNoticesFor(r) &&
+		!l.needsRelays(r) {
 		changed := l.changed
 		l.mu.Unlock()
 		select {
@@ -214,6 +216,7 @@
 		reply.Feed, reply.sharedFeed = delta.value, delta
 	}
 	reply.RateLimits, reply.RateLimitsVersion = l.rateLimitsSince(r.KnownRateLimits)
+	reply.Notices, reply.NoticesVersion = l.noticesSince(r)
 	if !r.AcceptsPacked {
 		reply.sharedView, reply.sharedFeed = nil, nil
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -79,6 +79,9 @@
 // PlatformUnavailable records that the platform does not answer.
 func (d *Directory) PlatformUnavailable() { d.platformUnavailable = true }
 
+// PlatformIsUnavailable reports whether the last record is that the platform does not answer.
+func (d *Directory) PlatformIsUnavailable() bool { return d.platformUnavailable }
+
 // PlatformRecovered records that the platform answers again.
 func (d *Directory) PlatformRecovered(now time.Time) {
 	if d.platformUnavailable {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -161,6 +161,8 @@
 		FurtherKinds:        furtherKinds(s),
 		RateLimits:          e.rateLimits,
 		RateLimitsChanged:   e.applyRateLimits,
+		Notices:             e.notices,
+		NoticesAdded:        e.applyNotices,
 		StoreUnreachable:    e.ownStoreUnreachable,
 		SetStoreUnavailable: e.setStoreUnavailable,
 
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -261,3 +261,23 @@
 	c.Check(arrivalsSince(left, servers...), qt.Equals, 0)
 	c.Check(strings.Join(h.edges[0].Draining("stock"), " "), qt.Equals, "")
 }
+
+// What one host was told by a target reaches the other hosts while the store is unavailable.
+func TestOtherHostsLearnThatATargetLeaves(t *testing.T) {
+	c := qt.New(t)
+	h, servers := leavingHarness(t, 3, plain("stock"), "a", "b")
+	h.cutStore()
+	servers[0].Leave()
+	first := 0
+	if h.edges[first].Coordinates() {
+		first = 1 // its report has to bring the notice
+	}
+	stop := h.load(first, 8, "/write/1") // both targets are needed
+	h.eventually("one host is told", func() bool { return h.edges[first].Drains("stock", "a") })
+	stop()
+	told := time.Now()
+	for host := range h.edges {
+		h.eventually("all hosts know", func() bool { return h.edges[host].Drains("stock", "a") })
+	}
+	c.Check(time.Since(told) < drainTime, qt.IsTrue, qt.Commentf("after %s", time.Since(told)))
+}
--- a/edge/statements.go
+++ b/edge/statements.go
@@ -23,8 +23,32 @@
 	}
 	e.log.Info("directory: Target states that it leaves.", "target", t.Name, "service", t.Service, "born", t.StartedAt.UnixMilli(),
 		"source", "response", "request", request)
+	e.drainTargets(directory.NoticeOf(t))
+	if e.knowsStoreUnavailable() { // otherwise the entry arrives sooner than the next report
+		e.member.ReportNow()
+	}
+}
+
+// applyNotices applies the notices that another host sent.
+func (e *Edge) applyNotices(added []directory.Notice) {
+	for i, n := range added {
+		if i == maxLoggedEntries {
+			e.log.Info("directory: Further targets state that they leave.", "targets", len(added)-i, "source", "host")
+			break
+		}
+		e.log.Info("directory: Target states that it leaves.", "target", n.Target, "service", n.Service, "born", n.StartedAt.UnixMilli(),
+			"source", "host")
+	}
+	e.drainTargets(added...)
+}
+
+// drainTargets makes the services send no further requests to the targets that made the notices.
+func (e *Edge) drainTargets(notices ...directory.Notice) {
+	changed := false
 	e.mu.Lock()
-	changed := e.targets.Drain(directory.NoticeOf(t))
+	for _, n := range notices {
+		changed = e.targets.Drain(n) || changed
+	}
 	e.mu.Unlock()
 	if changed {
 		e.updateServices()
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -181,6 +181,13 @@
 	}
 }
 
+// knowsStoreUnavailable reports whether this host knows that no host reaches the store.
+func (e *Edge) knowsStoreUnavailable() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.targets.PlatformIsUnavailable()
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
