Reject requests at once whose owner leaves while no keys can move

Callers of a key whose owner is leaving, or is gone from the list, waited on the host although the coordinator could not give the key to another target: a move has to be written to the store first. They got 503 only when their class counted as starved or their deadline could not be met.

Replies of the coordinator say whether the store is unavailable and when it last confirmed the lease. The state that a host keeps of them now says whether moves are halted, and the scheduler rejects such requests at once (no_target, with the same Retry-After as if no target is usable). Keys of owners that stay are not concerned, and once the store answers requests wait for the move as before.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -161,6 +161,9 @@
 	Index int
 	// Rates are the requests per second of all hosts, by service.
 	Rates map[string]float64
+	// MovesHalted reports whether keys stay with their owners for now: a move has to be written to the store first, which the
+	// coordinator does not reach.
+	MovesHalted bool
 	// Relays are the hosts to which this one may relay requests, in order of preference.
 	Relays []Relay
 
--- a/coordination/follower.go
+++ b/coordination/follower.go
@@ -301,6 +301,7 @@
 	}
 	old := m.State()
 	s := &State{View: old.apply(r.View), Coordinator: d.Coordinator, Hosts: max(1, r.Hosts), Index: r.Index, Rates: r.Rates}
+	s.MovesHalted = r.StoreUnavailable || r.ConfirmationAge > watcherTakeoverAge
 	s.Relays, s.relaysVersion = old.relaysAfter(r)
 	m.state.Store(s)
 	if s.Version != old.Version || s.Hosts != old.Hosts || s.Index != old.Index {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -293,7 +293,7 @@
 		return
 	}
 	state := e.member.State()
-	load := hostLoad{hosts: state.Hosts, rates: state.Rates}
+	load := hostLoad{hosts: state.Hosts, rates: state.Rates, movesHalted: state.MovesHalted}
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -61,6 +61,9 @@
 // Drains reports whether a target of a service gets no further requests because it leaves.
 func (e *Edge) Drains(service, name string) bool { return slices.Contains(e.Draining(service), name) }
 
+// MovesHalted reports whether the host knows that no keys can move for now.
+func (e *Edge) MovesHalted() bool { return e.member.State().MovesHalted }
+
 // ActiveRequests returns the number of requests in progress.
 func (e *Edge) ActiveRequests() int64 { return e.activeRequests.Load() }
 
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -281,3 +281,27 @@
 	}
 	c.Check(time.Since(told) < drainTime, qt.IsTrue, qt.Commentf("after %s", time.Since(told)))
 }
+
+// Requests for keys of an owner that left while the store was unavailable waited, although no key could move.
+func TestOwnerOfKeysLeavesWithoutTheStore(t *testing.T) {
+	c := qt.New(t)
+	h, servers := leavingHarness(t, 2, keyed("stock"), "a", "b")
+	const k = 0
+	owner := servers[0]
+	if _, holds := owner.Holds(k); !holds {
+		owner = servers[1]
+	}
+	request := call{path: "/write/1", key: key(k)}
+	h.cutStore()
+	owner.Leave()
+	h.eventually("owner drains", func() bool { h.do(request); return h.edges[0].Drains("stock", owner.Name()) })
+	h.eventually("no keys can move", h.edges[0].MovesHalted)
+	began, before := time.Now(), len(owner.Arrivals())
+	got := h.do(request)
+	c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(time.Since(began) < rejectTime, qt.IsTrue, qt.Commentf("after %s", time.Since(began)))
+	c.Check(owner.Arrivals(), qt.HasLen, before)
+	h.platform.SetFaults(standin.PlatformFaults{})
+	h.eventually("key has moved", func() bool { return h.do(request).status == http.StatusOK })
+	c.Check(owner.Arrivals(), qt.HasLen, before)
+}
--- a/edge/service.go
+++ b/edge/service.go
@@ -236,11 +236,12 @@
 	s.scheduler.SetSingleRank(single)
 }
 
-// setLoad sets this host's share of the targets' slots and sends the queued requests for
+// setLoad sets this host's share of the targets' slots and whether keys can move, and sends the queued requests for
 // which a slot is free.
 func (s *service) setLoad(now time.Time, load hostLoad) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.scheduler.SetMovesHalted(load.movesHalted)
 	s.scheduler.SetShare(load.share(s.name, s.rate.value(now)))
 	s.dispatchQueued(now)
 }
@@ -272,6 +273,8 @@
 type hostLoad struct {
 	hosts int                // number of hosts
 	rates map[string]float64 // requests per second on all hosts, by service
+
+	movesHalted bool // the coordinator does not reach the store
 }
 
 // minShareFactor is the least share of a host as a factor of an equal share.
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -6,10 +6,10 @@
 )
 
 // canServe reports whether any target can run r. A keyed request needs no known
-// owner: its key may be assigned while it is queued.
+// owner: its key may be assigned while it is queued, unless no keys can move.
 func (s *Scheduler) canServe(now time.Time, r *Request) bool {
 	if r.Keyed {
-		return len(s.ordered) > 0
+		return len(s.ordered) > 0 && !(s.movesHalted && s.ownerLeaves(r))
 	}
 	for _, t := range s.ordered {
 		if t.usable(now) {
@@ -19,6 +19,13 @@
 	return false
 }
 
+// ownerLeaves reports whether the owner of r's key is draining or no longer listed.
+func (s *Scheduler) ownerLeaves(r *Request) bool {
+	name, ok := s.options.Owner(r.Key)
+	t := s.targets[name]
+	return ok && (t == nil || t.Draining)
+}
+
 // runningLimit returns the number of requests running without a permit up to which this
 // host sends further requests without a key. It is at least minRunning.
 func (s *Scheduler) runningLimit(now time.Time) int { return slotLimit(s.slots(now), 0) }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -181,6 +181,7 @@
 	load                serviceLoad  // as the targets state it
 	ranks               []*rankState // by rank
 	singleRank          bool         // all requests have the same rank
+	movesHalted         bool         // keys stay with their owners for now
 
 	runningStreamed       int       // of running, those with a streamed body
 	streamedDeferredUntil time.Time // until when these give way to others
@@ -200,6 +201,10 @@
 // SetSingleRank sets whether the configuration gives all requests of the service the same rank.
 func (s *Scheduler) SetSingleRank(single bool) { s.singleRank = single }
 
+// SetMovesHalted sets whether no keys can move to other owners for now. Requests for keys of an owner that leaves are then
+// rejected at once: they would wait until their deadline.
+func (s *Scheduler) SetMovesHalted(halted bool) { s.movesHalted = halted }
+
 // SetTargets replaces the targets of the service. The statistics of a target are
 // kept while its incarnation is the same. Draining targets get no requests.
 func (s *Scheduler) SetTargets(now time.Time, targets []platform.Target) {
