Read in responses to orders that a target leaves

What callers saw: an owner of keys that leaves while the store is down, and whose keys get few requests, went on getting them until one of its responses to a caller's request said that it leaves.

Cause: the same statement stands in its responses to grants and releases, which the coordinator sends it every second or so; of these only the status and the handover token were read.

A response to an order that belongs to the order passes the notice on, unless another target serves the address (421). The coordinator tells the other hosts. A notice of a target whose entry already says that it drains is not recorded: the entry reaches the other hosts by itself.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -81,6 +81,9 @@
 	// reported.
 	RateLimits        *ratelimit.Table
 	RateLimitsChanged func([]ratelimit.Limit)
+	// TargetLeaves is called with the notice of a target that states in its response to an order that it leaves; nil means that
+	// such statements are ignored.
+	TargetLeaves func(directory.Notice)
 	// Notices holds the statements of targets that they leave. NoticesAdded is called with those that other hosts sent.
 	Notices      *directory.Notices
 	NoticesAdded func([]directory.Notice)
--- a/coordination/orders.go
+++ b/coordination/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/redwingtally/redwingtally/directory"
 	"github.com/redwingtally/redwingtally/ownership"
 	"github.com/redwingtally/redwingtally/platform"
 )
@@ -76,7 +77,11 @@
 func (l *leader) sendOrder(ctx context.Context, o ownership.Order) (ownership.OrderResult, string) {
 	var err error
 	token := ""
-	to := platform.Recipient{Name: o.To.Name, Address: o.To.Address}
+	to := platform.Recipient{Name: o.To.Name, Address: o.To.Address, Leaving: func() {
+		if leaves := l.member.options.TargetLeaves; leaves != nil {
+			leaves(directory.Notice{Service: o.Service, Target: o.To.Name, StartedAt: o.To.StartedAt.UTC()})
+		}
+	}}
 	if o.Kind == ownership.GrantKeys {
 		ctx, cancel := context.WithTimeout(ctx, ownership.GrantTimeout)
 		defer cancel()
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -131,6 +131,9 @@
 	return true
 }
 
+// Drains reports whether the process that a notice names is listed as draining.
+func (d *Directory) Drains(n Notice) bool { return d.Lists(n) && d.entries[n.Target].target.Draining }
+
 // Lists reports whether the directory has the entry of the process that made a notice.
 func (d *Directory) Lists(n Notice) bool {
 	e, ok := d.entries[n.Target]
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -163,6 +163,7 @@
 		RateLimitsChanged:   e.applyRateLimits,
 		Notices:             e.notices,
 		NoticesAdded:        e.applyNotices,
+		TargetLeaves:        func(n directory.Notice) { e.recordNotice(n, "order", "") },
 		StoreUnreachable:    e.ownStoreUnreachable,
 		SetStoreUnavailable: e.setStoreUnavailable,
 
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -305,3 +305,14 @@
 	h.eventually("key has moved", func() bool { return h.do(request).status == http.StatusOK })
 	c.Check(owner.Arrivals(), qt.HasLen, before)
 }
+
+// The response to an order states that its target leaves as one to a caller's request does, also on a host that gets no requests.
+func TestResponsesToOrdersStateThatTheTargetLeaves(t *testing.T) {
+	h, servers := leavingHarness(t, 2, keyed("stock"), "a", "b")
+	h.cutStore()
+	servers[0].Leave()
+	for host := range h.edges {
+		h.eventually("known on all hosts", func() bool { return h.edges[host].Drains("stock", "a") })
+	}
+	qt.Check(t, h.edges[0].Drains("stock", "b") || h.edges[1].Drains("stock", "b"), qt.IsFalse)
+}
--- a/edge/statements.go
+++ b/edge/statements.go
@@ -12,18 +12,21 @@
 // its body arrives. Responses of another process state nothing about the target.
 func (q *request) recordStatements(d scheduler.Dispatch, stated platform.ResponseMeta) {
 	if stated.Leaving && stated.FromTarget() {
-		q.edge.recordNotice(d.Target, q.meta.ID)
+		q.edge.recordNotice(directory.NoticeOf(d.Target), "response", q.meta.ID)
 	}
 }
 
-// recordNotice records that a target has stated in a response that it leaves.
-func (e *Edge) recordNotice(t platform.Target, request string) {
-	if !e.notices.Add(time.Now(), directory.NoticeOf(t)) {
+// recordNotice records that a target has stated that it leaves. source is the kind of exchange in which it did, and request the ID
+// of a caller's request, or empty.
+func (e *Edge) recordNotice(n directory.Notice, source, request string) {
+	e.mu.Lock()
+	known := e.targets.Drains(n) // by its entry, which reaches the other hosts too
+	e.mu.Unlock()
+	if known || !e.notices.Add(time.Now(), n) {
 		return
 	}
-	e.log.Info("directory: Target states that it leaves.", "target", t.Name, "service", t.Service, "born", t.StartedAt.UnixMilli(),
-		"source", "response", "request", request)
-	e.drainTargets(directory.NoticeOf(t))
+	e.logNotice(n, source, request)
+	e.drainTargets(n)
 	if e.knowsStoreUnavailable() { // otherwise the entry arrives sooner than the next report
 		e.member.ReportNow()
 	}
@@ -36,12 +39,17 @@
 			e.log.Info("directory: Further targets state that they leave.", "targets", len(added)-i, "source", "host")
 			break
 		}
-		e.log.Info("directory: Target states that it leaves.", "target", n.Target, "service", n.Service, "born", n.StartedAt.UnixMilli(),
-			"source", "host")
+		e.logNotice(n, "host", "")
 	}
 	e.drainTargets(added...)
 }
 
+// logNotice logs a notice that is new on this host.
+func (e *Edge) logNotice(n directory.Notice, source, request string) {
+	e.log.Info("directory: Target states that it leaves.", "target", n.Target, "service", n.Service, "born", n.StartedAt.UnixMilli(),
+		"source", source, "request", request)
+}
+
 // drainTargets makes the services send no further requests to the targets that made the notices.
 func (e *Edge) drainTargets(notices ...directory.Notice) {
 	changed := false
