--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -35,6 +35,7 @@
 	status  int       // 0 if there was no complete response
 	signed  bool      // the response is that of a target
 	refused bool      // there was no connection
+	leaving string    // the target that states in the response that it leaves
 	err     error     // why there was no complete response
 }
 
@@ -121,6 +122,7 @@
 		_ = resp.Body.Close()
 		if err == nil {
 			result.status, result.signed = resp.StatusCode, platform.ReadResponseMeta(resp.StatusCode, resp.Header).Signed
+			result.leaving = leavingTarget(resp, string(body))
 		}
 		if err == nil && resp.StatusCode == http.StatusOK && !strings.HasSuffix(string(body), "from "+c.id+"\n") {
 			s.results.addViolationf("request %s received the response %q", c.id, body)
@@ -176,6 +178,7 @@
 	}
 	violations = append(violations, s.lostRequests(runs, s.results.responses)...)
 	violations = append(violations, s.rateLimitViolations()...)
+	violations = append(violations, lateRequests(runs, s.results.responses)...)
 	for key, keyRuns := range byKey {
 		violations = append(violations, ownershipViolations(key, keyRuns)...)
 	}
