Test notices on hosts that start later

Cause and change: none in the product. A host that starts after a target has stated that it leaves gets the notice with its first reply and the entry, which says "ready", after it. The stand-in can state that it leaves while its entry stays.

--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -300,6 +300,25 @@
 	}
 }
 
+// A host that starts later learns that a target leaves although its entry, which the host receives after the notice, does not say so.
+func TestHostThatStartsLaterLearnsThatATargetLeaves(t *testing.T) {
+	c := qt.New(t)
+	h, servers := leavingHarness(t, 2, plain("stock"), "a", "b")
+	servers[0].StateLeaving()
+	stop := h.load(0, 8, "/write/1") // both targets are needed
+	h.eventually("hosts know", func() bool { return h.edges[0].Drains("stock", "a") && h.edges[1].Drains("stock", "a") })
+	stop()
+	before := len(servers[0].Arrivals())
+	h.addEdge("late")
+	const late = 2
+	h.eventually("all targets", func() bool { return h.edges[late].TargetCount("stock") == 2 })
+	h.eventually("late host knows", func() bool { return h.edges[late].Drains("stock", "a") })
+	for range 20 {
+		c.Check(h.do(call{host: late, path: "/write/1"}).status, qt.Equals, http.StatusOK)
+	}
+	c.Check(servers[0].Arrivals(), qt.HasLen, before)
+}
+
 // Requests for keys of an owner that left while the store was unavailable waited, although no key could move.
 func TestOwnerOfKeysLeavesWithoutTheStore(t *testing.T) {
 	c := qt.New(t)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -182,6 +182,13 @@
 	s.draining, s.leaving = true, true
 }
 
+// StateLeaving makes the server state in all its responses that it leaves, while its entry stays as it is.
+func (s *Server) StateLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
 // states returns what the server states of itself in every response.
 func (s *Server) states(m platform.ResponseMeta) platform.ResponseMeta {
 	m.RateLimit, m.Load, m.Leaving = s.rateLimit(), s.load(), s.leaves()
