Read rate limits in the head of a response, as notices are

What callers saw: nothing yet known; a target in need got more than it accepts if its responses broke off or their callers left, and a response of another target at its address, or of no target at all, set a limit on it.

Cause: the same as for the notices, on a related path. A stated rate limit was read only from a complete response, and from any response.

It is read with the other statements: in the head of a response of the target.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -53,7 +53,6 @@
 	q.edge.path.exchanged(ctx, target, result.ResponseTime, response, err)
 	if err == nil {
 		result.Load = response.Load
-		q.recordRateLimit(d, response)
 	}
 	q.recordCompletion(result)
 	q.service.release(ownership.IncarnationOf(d.dispatch.Target), q.scheduled, result)
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -58,6 +58,13 @@
 	return out
 }
 
+// LimitedTargets returns the number of the service's targets with a rate limit.
+func (e *Edge) LimitedTargets(service string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.rateLimits.ByName(e.targets.ServiceTargets(time.Now(), service)))
+}
+
 // Drains reports whether a target of a service gets no further requests because it leaves.
 func (e *Edge) Drains(service, name string) bool { return slices.Contains(e.Draining(service), name) }
 
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -138,16 +138,18 @@
 	return 0
 }
 
-// A response states that its target leaves whatever its status is and whether or not its body arrives, but only the response
-// of that target to that request does.
-func TestResponsesThatStateThatTheTargetLeaves(t *testing.T) {
+// A response states that its target leaves, or its rate limit, whatever its status is and whether or not its body arrives, but only
+// the response of that target to that request does.
+func TestStatementsInResponses(t *testing.T) {
 	signed := func(id string) platform.ResponseMeta {
-		return platform.ResponseMeta{ID: id, Signed: true, Leaving: true}
+		return platform.ResponseMeta{ID: id, Signed: true}
 	}
 	respond := func(status int, meta func(id string) platform.ResponseMeta) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
 			clear(w.Header()) // of the harness
-			platform.SetResponseMeta(w.Header(), "a", meta(platform.ReadRequestMeta(r.Header).ID))
+			stated := meta(platform.ReadRequestMeta(r.Header).ID)
+			stated.Leaving, stated.RateLimit = true, platform.RateLimit{PerSecond: 5, Stated: true}
+			platform.SetResponseMeta(w.Header(), "a", stated)
 			w.WriteHeader(status)
 		}
 	}
@@ -169,20 +171,20 @@
 		{"failed", respond(http.StatusInternalServerError, signed), true},
 		{"not found", respond(http.StatusNotFound, signed), true},
 		{"rejected", respond(http.StatusServiceUnavailable, func(id string) platform.ResponseMeta {
-			return platform.ResponseMeta{ID: id, NotExecuted: true, Leaving: true}
+			return platform.ResponseMeta{ID: id, NotExecuted: true}
 		}), true},
 		{"not the owner", respond(http.StatusMisdirectedRequest, func(id string) platform.ResponseMeta {
-			return platform.ResponseMeta{ID: id, NotExecuted: true, Leaving: true}
+			return platform.ResponseMeta{ID: id, NotExecuted: true}
 		}), true},
 		{"body breaks off", begin(func(*http.Request) {}), true},
 		{"caller leaves during the body", begin(func(r *http.Request) { <-r.Context().Done() }), true},
 		{"another target at the address", respond(http.StatusMisdirectedRequest, func(id string) platform.ResponseMeta {
-			return platform.ResponseMeta{ID: id, TargetReplaced: true, Leaving: true}
+			return platform.ResponseMeta{ID: id, TargetReplaced: true}
 		}), false},
 		{"success without a signature", respond(http.StatusOK, func(id string) platform.ResponseMeta {
-			return platform.ResponseMeta{ID: id, Leaving: true}
+			return platform.ResponseMeta{ID: id}
 		}), false},
-		{"no target's response", respond(http.StatusBadGateway, func(string) platform.ResponseMeta { return platform.ResponseMeta{Leaving: true} }), false},
+		{"no target's response", respond(http.StatusBadGateway, func(string) platform.ResponseMeta { return platform.ResponseMeta{} }), false},
 		{"response to another request first", func(w http.ResponseWriter, r *http.Request) {
 			conn, buffer, err := http.NewResponseController(w).Hijack()
 			if err != nil {
@@ -190,6 +192,7 @@
 			}
 			defer func() { _ = conn.Close() }()
 			for _, meta := range []platform.ResponseMeta{signed("another"), {ID: platform.ReadRequestMeta(r.Header).ID, Signed: true}} {
+				meta.Leaving = meta.ID == "another"
 				head := http.Header{"Content-Length": {"0"}}
 				platform.SetResponseMeta(head, "a", meta)
 				_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\n") // errors of the buffer remain, and Flush ends the attempt
@@ -209,6 +212,7 @@
 			got := h.do(call{path: "/write/1", timeout: 500 * time.Millisecond})
 			h.eventually("request has ended", func() bool { return h.edges[0].ActiveRequests() == 0 })
 			qt.Check(t, h.edges[0].Drains("stock", "a"), qt.Equals, test.want, qt.Commentf("status %d, %v", got.status, got.err))
+			qt.Check(t, h.edges[0].LimitedTargets("stock") == 1, qt.Equals, test.want)
 		})
 	}
 }
--- a/edge/ratelimit.go
+++ b/edge/ratelimit.go
@@ -4,16 +4,16 @@
 	"context"
 	"time"
 
-	"github.com/redwingtally/redwingtally/exchange"
 	"github.com/redwingtally/redwingtally/ownership"
+	"github.com/redwingtally/redwingtally/platform"
 	"github.com/redwingtally/redwingtally/ratelimit"
 )
 
-// recordRateLimit records the rate limit that a response states. A response without one
+// recordRateLimit records the rate limit that a response of a target states. A response without one
 // ends the limit only if the target ran the request.
-func (q *request) recordRateLimit(d schedulerDecision, response *exchange.Response) {
+func (q *request) recordRateLimit(t platform.Target, response platform.ResponseMeta) {
 	e, stated := q.edge, response.RateLimit
-	target := ownership.IncarnationOf(d.dispatch.Target)
+	target := ownership.IncarnationOf(t)
 	if _, limited := e.rateLimits.PerSecond(target); limited {
 		e.metrics.LimitedAttempts.WithLabelValues(q.service.name).Inc()
 	}
--- a/edge/statements.go
+++ b/edge/statements.go
@@ -14,6 +14,7 @@
 	if !stated.FromTarget() {
 		return
 	}
+	q.recordRateLimit(d.Target, stated)
 	if stated.Leaving {
 		q.edge.recordNotice(directory.NoticeOf(d.Target), "response", q.meta.ID)
 	}
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -339,7 +339,7 @@
 	{"le-process", "directory/directory.go", "|| NoticeOf(e.target) != n {", "{", "./directory"},
 	{"le-entry", "edge/statements.go", "	t.Draining = true\n", "", "./edge -run ^TestHostThatStartsLater"},
 	{"le-drain", "edge/statements.go", "changed = e.targets.Drain(n) || changed", "_ = n", "./edge -run ^TestAllTargetsLeave$"},
-	{"le-foreign", "platform/headers.go", `!m.TargetReplaced && (m.ID != "" || m.Signed || m.NotExecuted)`, "true", "./edge -run ^TestResponsesThatState"},
+	{"le-foreign", "platform/headers.go", `!m.TargetReplaced && (m.ID != "" || m.Signed || m.NotExecuted)`, "true", "./edge -run ^TestStatementsInResponses"},
 	{"le-value", "platform/headers.go", "h.Get(headerLeaving) == leavingSet", `h.Get(headerLeaving) != ""`, "./platform -run ^TestReadLeaving$"},
 	{"le-order", "platform/targetclient.go", " && resp.status != http.StatusMisdirectedRequest", "", "./platform -run ^TestOrderResponses"},
 	{"le-confirm", "directory/notices.go", "e.version = 0", "", "./directory"},
