Let an owner that has stated that it leaves serve its keys for half the drain time

What callers saw, since the notices: requests for keys of an owner that leaves waited, or got 503, from its first statement until the coordinator had heard of it and the keys had moved; while the store is down they got 503 from then on. Before the notices the owner served them meanwhile.

Cause: no other target can serve the keys, and a target that leaves has drainMs to finish. A target that is known to leave by its entry is known to the coordinator at the same time, by a notice it is known to the host earlier.

A notice that no entry has confirmed leaves the owner its keys for half of the drain time. After that, and where its entry says that it drains or its data centre is evacuated, it gets nothing, as before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -104,6 +104,7 @@
 	e, known := d.entries[t.Name]
 	if known && sameProcess(e.target, t) {
 		next.target.Draining = t.Draining || e.target.Draining
+		next.target.Noticed = t.Noticed && (e.target.Noticed || !e.target.Draining) // an entry that has said so counts
 		next.usableFrom = e.usableFrom
 	}
 	if gone, ok := d.departures[t.Name]; ok && sameProcess(gone.target, t) {
@@ -126,7 +127,7 @@
 	if !ok || e.target.Draining || NoticeOf(e.target) != n {
 		return false
 	}
-	e.target.Draining = true
+	e.target.Draining, e.target.Noticed = true, true
 	d.version++
 	return true
 }
--- a/edge/evacuation.go
+++ b/edge/evacuation.go
@@ -105,7 +105,7 @@
 	}
 	for i := range targets {
 		if _, in := evacuated[targets[i].DataCentre]; in {
-			targets[i].Draining = true
+			targets[i].Draining, targets[i].Noticed = true, false
 		}
 	}
 	return true
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -336,6 +336,8 @@
 	h.cutStore()
 	owner.Leave()
 	h.eventually("owner drains", func() bool { h.do(request); return h.edges[0].Drains("stock", owner.Name()) })
+	c.Check(h.do(request).status, qt.Equals, http.StatusOK) // the owner still serves its keys for a time
+	time.Sleep(drainTime / 2)                               // the time
 	h.eventually("no keys can move", h.edges[0].MovesHalted)
 	began, before := time.Now(), len(owner.Arrivals())
 	got := h.do(request)
@@ -347,6 +349,26 @@
 	c.Check(owner.Arrivals(), qt.HasLen, before)
 }
 
+// Requests for the keys of an owner that states that it leaves, before its entry does, are served in time until the keys have moved.
+func TestKeysOfATargetThatLeavesMove(t *testing.T) {
+	c := qt.New(t)
+	h, servers := leavingHarness(t, 2, keyed("stock"), "a", "b")
+	const k = 0
+	owner, other := servers[0], servers[1]
+	if _, holds := owner.Holds(k); !holds {
+		owner, other = other, owner
+	}
+	owner.StateLeaving()
+	requests := h.leavingCallers(drainTime, 20*time.Millisecond, call{path: "/write/1", key: key(k)})
+	for _, x := range requests {
+		took := x.answered.Sub(x.sentAt)
+		c.Check(x.status == http.StatusOK && took <= 300*time.Millisecond, qt.IsTrue, qt.Commentf("status %d after %s", x.status, took)) // the route's objective
+	}
+	c.Check(lateArrivals(requests, owner), qt.HasLen, 0)
+	_, holds := other.Holds(k)
+	c.Check(holds, qt.IsTrue)
+}
+
 // The response to an order states that its target leaves as one to a caller's request does, also on a host that gets no requests.
 func TestResponsesToOrdersStateThatTheTargetLeaves(t *testing.T) {
 	h, servers := leavingHarness(t, 2, keyed("stock"), "a", "b")
--- a/edge/service.go
+++ b/edge/service.go
@@ -16,6 +16,9 @@
 const (
 	// queueInterval is the time between two checks of a queue that is not empty.
 	queueInterval = 20 * time.Millisecond
+	// ownerGraceShare is the part of the drain time, as its divisor, for which an owner that has stated that it leaves gets requests for
+	// its keys.
+	ownerGraceShare = 2
 	// idleConnectionShare is the part of a target's connection limit that all hosts together use for idle connections.
 	idleConnectionShare = 0.7
 	// maxIdleConnections bounds the number of idle connections of a host to one target.
@@ -73,6 +76,7 @@
 		Owner:      func(key uint16) (string, bool) { return e.owner(name, key) },
 		Connected:  s.connected,
 		Random:     e.random,
+		OwnerGrace: e.settings.Drain / ownerGraceShare,
 	})
 	return s
 }
--- a/edge/statements.go
+++ b/edge/statements.go
@@ -80,8 +80,9 @@
 	}
 	if t.Draining {
 		e.notices.Confirm(t)
+		return t
 	}
-	t.Draining = true
+	t.Draining, t.Noticed = true, true
 	return t
 }
 
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -9,7 +9,7 @@
 // owner: its key may be assigned while it is queued, unless no keys can move.
 func (s *Scheduler) canServe(now time.Time, r *Request) bool {
 	if r.Keyed {
-		return len(s.ordered) > 0 && (!s.movesHalted || !s.ownerLeaves(r))
+		return len(s.ordered) > 0 && (!s.movesHalted || !s.ownerHasLeft(now, r))
 	}
 	for _, t := range s.ordered {
 		if t.usable(now) || !t.Draining && t.withheld(now) { // estimateWait counts the time until it accepts requests
@@ -19,11 +19,11 @@
 	return false
 }
 
-// ownerLeaves reports whether the owner of r's key is draining or no longer listed.
-func (s *Scheduler) ownerLeaves(r *Request) bool {
+// ownerHasLeft reports whether the owner of r's key gets no further requests, or is no longer listed.
+func (s *Scheduler) ownerHasLeft(now time.Time, r *Request) bool {
 	name, ok := s.options.Owner(r.Key)
 	t := s.targets[name]
-	return ok && (t == nil || t.Draining)
+	return ok && (t == nil || t.hasLeft(now, s.options.OwnerGrace))
 }
 
 // runningLimit returns the number of requests running without a permit up to which this
@@ -124,7 +124,7 @@
 // availableOwner returns the owner of r's key if it can get a request now, or nil.
 func (s *Scheduler) availableOwner(now time.Time, r *Request) *target {
 	t := s.owner(r)
-	if t == nil || !t.available(now) || t.running >= s.keyedLimit(now, t) {
+	if t == nil || t.hasLeft(now, s.options.OwnerGrace) || !t.availableForOwned(now) || t.running >= s.keyedLimit(now, t) {
 		return nil
 	}
 	if !s.leavesRoom(now, r, t.runningStreamed, s.keyedLimit(now, t)) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -124,6 +124,9 @@
 	Connected func(target string) bool
 	// Random returns a number in [0, 1).
 	Random func() float64
+	// OwnerGrace is how long the owner of keys that has stated that it leaves gets requests for them. No other target can serve
+	// them until they have moved.
+	OwnerGrace time.Duration
 }
 
 const (
--- a/scheduler/withhold_test.go
+++ b/scheduler/statements_test.go
@@ -71,3 +71,49 @@
 	s.SetTargets(start, restarted)
 	c.Check(s.TargetStates(start)[0].WithheldFor, qt.Equals, 0.0)
 }
+
+// The owner of keys that has stated that it leaves serves them for OwnerGrace, as no other target can, and gets no other requests. If
+// its entry says that it drains, or no keys can move and the time is over, requests for its keys do not go there.
+func TestOwnerThatLeaves(t *testing.T) {
+	const grace = time.Second
+	tests := []struct {
+		name            string
+		noticed, halted bool
+		after           time.Duration // since the owner is taken for draining
+		want            string        // target, "wait" or "reject"
+	}{
+		{"stated", true, false, 0, "t0"},
+		{"stated, no moves", true, true, grace - ms, "t0"},
+		{"stated a while ago", true, false, grace, "wait"},
+		{"stated a while ago, no moves", true, true, grace, "reject"},
+		{"entry", false, false, 0, "wait"},
+		{"entry, no moves", false, true, 0, "reject"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newScheduler(keyOwners{1: "t0"})
+			s.options.OwnerGrace = grace
+			all := targets(2)
+			all[0].Draining, all[0].Noticed = true, test.noticed
+			s.SetTargets(start, all)
+			s.SetMovesHalted(test.halted)
+			now := start.Add(test.after)
+			keyed := newRequest(now, 0, 10*time.Second, 10*time.Second)
+			keyed.Key, keyed.Keyed = 1, true
+			got := "reject"
+			if rejection, ok := s.Add(now, keyed); ok {
+				got = "wait"
+				if d, sent := s.Next(now); sent {
+					got = d.Target.Name
+				}
+			} else {
+				c.Check(rejection.Reason, qt.Equals, NoTarget)
+			}
+			c.Check(got, qt.Equals, test.want)
+			s.Add(now, newRequest(now, 0, 10*time.Second, 10*time.Second))
+			d, sent := s.Next(now)
+			c.Check(sent && d.Target.Name == "t1", qt.IsTrue)
+		})
+	}
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -86,6 +86,7 @@
 	runningStreamed       int         // of running, those with a streamed body
 	warmAt                time.Time   // when a cold target reaches its full speed
 	pausedUntil           time.Time   // end of the backoff; it gets no requests before
+	noticedAt             time.Time   // when it was first taken for draining because of its statement
 	withheldUntil         time.Time   // the target has asked this host for no requests before
 	consecutiveFailures   int         // since the last complete response
 	consecutiveRejections int         // since the last complete response
@@ -113,6 +114,9 @@
 	if spec.WarmupLeft > 0 && (t.warmAt.IsZero() || spec.WarmupLeft != t.WarmupLeft) {
 		t.warmAt = now.Add(spec.WarmupLeft)
 	}
+	if spec.Noticed && t.noticedAt.IsZero() {
+		t.noticedAt = now
+	}
 	t.Target = spec
 }
 
@@ -122,13 +126,21 @@
 }
 
 // available reports whether the target can get a request now.
-func (t *target) available(now time.Time) bool {
-	if t.Draining || t.withheld(now) || now.Before(t.pausedUntil) {
+func (t *target) available(now time.Time) bool { return !t.Draining && t.availableForOwned(now) }
+
+// availableForOwned reports whether the target can get a request now for a key that it owns, unless it has left.
+func (t *target) availableForOwned(now time.Time) bool {
+	if t.withheld(now) || now.Before(t.pausedUntil) {
 		return false
 	}
 	return t.consecutiveFailures < breakerThreshold || t.running == 0
 }
 
+// hasLeft reports whether the target gets no requests for keys that it owns either, as it drains.
+func (t *target) hasLeft(now time.Time, grace time.Duration) bool {
+	return t.Draining && (!t.Noticed || !now.Before(t.noticedAt.Add(grace)))
+}
+
 // capacity returns the number of slots of the target, reduced while it is cold.
 func (t *target) capacity(now time.Time) float64 {
 	slots := float64(t.Slots)
