Pass a request on to another relay if the targets ask this one for no requests

What callers saw: a host that is cut off got 503 from a relay which all targets had asked for a pause, although these ask each host by itself and another relay could have served the request.

Cause: the new reason "withheld" counted as one that lies with the targets. It is now one of those after which another relay may take the request.

--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -71,6 +71,14 @@
 // MovesHalted reports whether the host knows that no keys can move for now.
 func (e *Edge) MovesHalted() bool { return e.member.State().MovesHalted }
 
+// Withhold makes all targets of a service ask the host for no requests.
+func (e *Edge) Withhold(service string, d time.Duration) {
+	s := e.service(service)
+	for _, t := range s.scheduler.Targets() {
+		s.withhold(t, d)
+	}
+}
+
 // ActiveRequests returns the number of requests in progress.
 func (e *Edge) ActiveRequests() int64 { return e.activeRequests.Load() }
 
--- a/edge/relayresponse_test.go
+++ b/edge/relayresponse_test.go
@@ -73,6 +73,7 @@
 		{"older configuration", nothing, relay.Request{Configuration: 99, Attempts: 1}, relay.NotTaken, false},
 		{"malformed headers", nothing, relay.Request{}, relay.NotTaken, false},
 		{"full", func(h *harness) { h.edges[0].AddRelayed(edge.MaxRelayedRequests) }, relay.Request{Attempts: 1}, relay.NotTaken, false},
+		{"targets ask for no requests", func(h *harness) { h.edges[0].Withhold("stock", time.Minute) }, relay.Request{Attempts: 1}, relay.NotTaken, false},
 		{"cut off", func(h *harness) { h.edges[0].SetCutOff(true) }, relay.Request{Attempts: 1}, relay.NotTaken, true},
 		{"no configuration", func(h *harness) { h.edges[0].HideConfiguration() }, relay.Request{Attempts: 1}, relay.NotTaken, true},
 	}
--- a/edge/relayserver.go
+++ b/edge/relayserver.go
@@ -170,6 +170,7 @@
 var notTakenReasons = map[string]bool{
 	reasonStopping: true, reasonCutOff: true, "no_configuration": true, "no_targets": true, "relay_headers": true, "relay_full": true, "body_memory": true,
 	"configuration_older": true, "no_service": true, "unreachable": true,
+	string(scheduler.Withheld): true, // targets ask each host by itself
 }
 
 // rejectionKind returns how the relay's own response to a relayed request is to be taken.
