--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -52,7 +52,7 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var out []exchanged
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(interval) { // the rate of the callers
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(interval) { // sets the rate of the callers
 		for host := range h.edges {
 			wg.Go(func() {
 				c := request
@@ -337,7 +337,7 @@
 	owner.Leave()
 	h.eventually("owner drains", func() bool { h.do(request); return h.edges[0].Drains("stock", owner.Name()) })
 	c.Check(h.do(request).status, qt.Equals, http.StatusOK) // the owner still serves its keys for a time
-	time.Sleep(drainTime / 2)                               // the time
+	time.Sleep(drainTime / 2)                               // the owner serves its keys for no longer
 	h.eventually("no keys can move", h.edges[0].MovesHalted)
 	began, before := time.Now(), len(owner.Arrivals())
 	got := h.do(request)
