--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -84,6 +84,7 @@
 		c.close()
 		return 0, err.Error()
 	}
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		c.close()
--- a/review/rig3/removed.go
+++ b/review/rig3/removed.go
@@ -71,7 +71,7 @@
 	stop := startClients(rec, daemons[0].entry)
 	time.Sleep(3 * time.Second)
 	if trouble {
-		fmt.Fprintln(r, "store down for", firstDown, "and", secondDown)
+		note(r, "store down for %s and %s", firstDown, secondDown)
 		s.setDown(true)
 		time.Sleep(firstDown + secondDown)
 		s.setDown(false)
@@ -93,11 +93,11 @@
 		if len(after) > 0 {
 			last = after[len(after)-1]
 		}
-		fmt.Fprintf(r, "%s: entry removed; %d requests arrived after that, the last %d ms later; %d later than drainMs\n", u.id, len(after), last.Milliseconds(), n)
+		note(r, "%s: entry removed; %d requests arrived after that, the last %d ms later; %d later than drainMs", u.id, len(after), last.Milliseconds(), n)
 	}
 	stop()
 	writeOutcomes(r, rec, runs)
-	fmt.Fprintln(r, "requests that arrived later than drainMs after the removal:", late)
+	note(r, "requests that arrived later than drainMs after the removal: %d", late)
 	return late > 0, nil
 }
 
@@ -154,6 +154,11 @@
 	}
 }
 
+// note writes a line of the record.
+func note(r *os.File, format string, args ...any) {
+	_, _ = fmt.Fprintf(r, format+"\n", args...) // the exit code tells the result too
+}
+
 // writeOutcomes writes what was sent, answered and run.
 func writeOutcomes(r *os.File, rec *record, runs *journal) {
 	rec.mu.Lock()
@@ -162,8 +167,8 @@
 	for _, o := range rec.outcomes {
 		counts[o.status]++
 		if o.status != 200 {
-			fmt.Fprintf(r, "%s at %s: status %d after %d ms, run by %v\n", o.id, o.at.Format("15:04:05.000"), o.status, o.took.Milliseconds(), runs.of(o.id))
+			note(r, "%s at %s: status %d after %d ms, run by %v", o.id, o.at.Format("15:04:05.000"), o.status, o.took.Milliseconds(), runs.of(o.id))
 		}
 	}
-	fmt.Fprintln(r, "sent:", len(rec.outcomes), "answers by status (0: none):", counts)
+	note(r, "sent: %d, answers by status (0: none, -1: no connection): %v", len(rec.outcomes), counts)
 }
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -189,7 +189,7 @@
 	for {
 		s.mu.Lock()
 		changes, rev, changed, down := s.since(kind, from), s.rev, s.changed, s.down
-		events := []map[string]any{}
+		events := make([]map[string]any, 0, len(changes))
 		for _, o := range changes {
 			events = append(events, map[string]any{"object": o.wire(), "deleted": o.deleted})
 		}
