--- a/review/rig3/daemon.go
+++ b/review/rig3/daemon.go
@@ -65,11 +65,19 @@
 	portCount = 18000
 )
 
-// freeAddress returns a loopback address at which nothing listens.
+// taken holds the ports that were given out.
+var taken = map[int]bool{}
+
+// freeAddress returns a loopback address at which nothing listens and that was not given out before.
 func freeAddress() (string, error) {
 	for range 100 {
-		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(portCount))
+		port := firstPort + rand.IntN(portCount)
+		if taken[port] {
+			continue
+		}
+		address := fmt.Sprint("127.0.0.1:", port)
 		if ln, err := net.Listen("tcp4", address); err == nil {
+			taken[port] = true
 			return address, ln.Close()
 		}
 	}
