--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -2,13 +2,14 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/redwingtally/redwingtally/platform"
 )
 
 // class is a kind of requests.
@@ -73,8 +74,12 @@
 		c.conn, c.r, c.used = conn, bufio.NewReader(conn), false
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(k.deadline + 500*time.Millisecond))
-	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: shop.example\r\nX-Redwingtally-Request-Id: %s\r\nX-Redwingtally-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
-		k.method, k.path, id, k.deadline.Milliseconds())
+	req, err := http.NewRequest(k.method, "http://shop.example"+k.path, nil)
+	if err != nil {
+		return -1, err.Error()
+	}
+	platform.SetRequestMeta(req.Header, platform.RequestMeta{ID: id, Timeout: k.deadline})
+	err = req.Write(c.conn)
 	if err != nil {
 		c.close()
 		return 0, err.Error()
--- a/review/rig3/daemon.go
+++ b/review/rig3/daemon.go
@@ -11,6 +11,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"github.com/redwingtally/redwingtally/platform"
 )
 
 // daemon is a process of redwingtally-edge with settings like those of a small deployment.
@@ -87,7 +89,7 @@
 // start starts the process.
 func (d *daemon) start() error {
 	d.cmd = exec.Command("target/redwingtally-edge")
-	d.cmd.Env = append(os.Environ(), "REDWINGTALLY_NODE_FILE="+d.settings)
+	d.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+d.settings)
 	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
 	if err := d.cmd.Start(); err != nil {
 		return err
@@ -104,7 +106,7 @@
 // awaitReady waits until the daemon says that it is ready.
 func (d *daemon) awaitReady() error {
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		resp, err := http.Get("http://" + d.ready + "/redwingtally/ready")
+		resp, err := http.Get("http://" + d.ready + platform.ReadyPath)
 		if err != nil {
 			continue
 		}
--- a/review/rig3/removed.go
+++ b/review/rig3/removed.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"sync"
 	"time"
+
+	"github.com/redwingtally/redwingtally/platform"
 )
 
 const (
@@ -26,16 +29,16 @@
 // deposits is the one service and its route.
 var deposits = class{"POST", "/deposit/1", 2500 * time.Millisecond}
 
-func configuration() map[string]any {
-	return map[string]any{
-		"version": "0000000c",
-		"routes": map[string]any{"deposit-confirm": map[string]any{
-			"host": "shop.example", "pathPrefix": "/deposit/", "service": "ledgerwax", "routeType": "non_idempotent", "timeoutMs": 2500,
-			"targetLatencyMs": 400, "priority": 0, "attempts": 3,
+func configuration() (json.RawMessage, error) {
+	return platform.EncodeConfiguration(&platform.Configuration{
+		Version: 12,
+		Routes: []platform.Route{{
+			Name: "deposit-confirm", Host: "shop.example", Prefix: "/deposit/", Shares: []platform.WeightedService{{Service: "ledgerwax", Weight: 1}},
+			Repeat: platform.AtMostOnce, Attempts: 3, Timeout: deposits.deadline, Objective: 400 * time.Millisecond,
 		}},
-		"services": map[string]any{"ledgerwax": map[string]any{"healthPath": "/health", "maxConns": 110, "sharded": false}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 8 << 20, "headerTimeoutMs": 5000, "idleTimeoutMs": 15000},
-	}
+		Services: []platform.Service{{Name: "ledgerwax", MaxConnections: 110, HealthPath: healthPath}},
+		Limits:   platform.Limits{HeaderBytes: 16 << 10, BodyBytes: 8 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 15 * time.Second},
+	})
 }
 
 // removed plays case 13. It reports whether requests reached upstreams later than drainMs after their entries were removed.
@@ -58,7 +61,11 @@
 		}
 		ups = append(ups, u)
 	}
-	s.put("config", "main", configuration(), nil)
+	config, err := configuration()
+	if err != nil {
+		return false, err
+	}
+	s.put(platform.KindConfiguration, platform.NameConfiguration, config)
 	daemons, err := startDaemons(dir, address, 2)
 	if err != nil {
 		return false, err
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -2,32 +2,36 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/redwingtally/redwingtally/platform"
 )
 
-// object is one object of the store.
-type object struct {
-	kind, name string
-	rev        uint64
-	created    uint64
-	deleted    bool
-	spec       json.RawMessage
-	status     json.RawMessage
+// store is a stand-in for the platform's store. It keeps all history and answers at once.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]platform.Object // by kind and name
+	changed  chan struct{}
+	down     bool // every call gets 503, and watches that wait are cut off
 }
 
-// store is a stand-in for the platform's metadata store. It keeps all history and answers at once.
-type store struct {
-	mu      sync.Mutex
-	rev     uint64
-	objects map[string]*object
-	changed chan struct{}
-	down    bool // every call gets 503, and watches that wait are cut off
+// startStore serves a store on a free port of the loopback interface.
+func startStore() (*store, string, error) {
+	s := &store{revision: 100, objects: map[string]platform.Object{}, changed: make(chan struct{})}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(ln) }() // ends with the process
+	return s, ln.Addr().String(), nil
 }
 
 // setDown makes the store reject all calls, or serve them again.
@@ -35,8 +39,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.down = down
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.notify()
 }
 
 func (s *store) isDown() bool {
@@ -45,161 +48,106 @@
 	return s.down
 }
 
-// remove removes an object, as the platform does with the entry of an upstream that leaves. It returns when the removal
-// was in force.
-func (s *store) remove(kind, name string) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o := s.objects[kind+"/"+name]
-	s.set(kind, name, o.spec, o.status).deleted = true
-	return time.Now()
-}
-
-// wireMetadata is the JSON form of an object's metadata.
-type wireMetadata struct {
-	Name       string   `json:"name"`
-	Rev        uint64   `json:"rev,omitempty"`
-	CreatedRev uint64   `json:"createdRev,omitempty"`
-	Finalizers []string `json:"finalizers"`
-}
-
-// wireObject is the JSON form of an object.
-type wireObject struct {
-	Metadata wireMetadata    `json:"metadata"`
-	Spec     json.RawMessage `json:"spec,omitempty"`
-	Status   json.RawMessage `json:"status,omitempty"`
-}
-
-// startStore serves a store on a free port of the loopback interface.
-func startStore() (*store, string, error) {
-	s := &store{rev: 100, objects: map[string]*object{}, changed: make(chan struct{})}
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return nil, "", err
-	}
-	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(ln) }() // ends with the process
-	return s, ln.Addr().String(), nil
+// notify wakes the watches that wait. The caller holds s.mu.
+func (s *store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // put creates or replaces an object without a condition, as the operator and the upstreams do.
-func (s *store) put(kind, name string, spec, status any) {
+func (s *store) put(kind, name string, value json.RawMessage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.set(kind, name, encode(spec), encode(status))
+	s.set(platform.Object{Kind: kind, Name: name, Value: value})
 }
 
-// set stores an object under the next revision. The caller holds s.mu.
-func (s *store) set(kind, name string, spec, status json.RawMessage) *object {
-	s.rev++
+// remove removes an object, as the platform does with the entry of an upstream that leaves, and returns when that was in force.
+func (s *store) remove(kind, name string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	o := s.objects[kind+"/"+name]
-	if o == nil || o.deleted {
-		o = &object{kind: kind, name: name, created: s.rev}
-		s.objects[kind+"/"+name] = o
-	}
-	o.rev, o.spec = s.rev, spec
-	if status != nil {
-		o.status = status
-	}
-	close(s.changed)
-	s.changed = make(chan struct{})
-	return o
-}
-
-func encode(v any) json.RawMessage {
-	if v == nil {
-		return nil
-	}
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // the values are plain maps
-	}
-	return b
+	o.Deleted = true
+	s.set(o)
+	return time.Now()
 }
 
-func (o *object) wire() wireObject {
-	return wireObject{Metadata: wireMetadata{Name: o.name, Rev: o.rev, CreatedRev: o.created, Finalizers: []string{}}, Spec: o.spec, Status: o.status}
+// set stores an object under the next revision and returns it. The caller holds s.mu.
+func (s *store) set(o platform.Object) platform.Object {
+	s.revision++
+	o.Version = platform.Version(s.revision)
+	s.objects[o.Kind+"/"+o.Name] = o
+	s.notify()
+	return o
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	path := strings.Split(strings.TrimPrefix(r.URL.Path, "/redwingtally/objects/"), "/")
-	w.Header().Set("Store-Era", "1")
-	s.mu.Lock()
-	down := s.down
-	s.mu.Unlock()
-	switch {
-	case down:
+	w.Header().Set(platform.EraHeader, "1") // it is never restored from a copy
+	if s.isDown() {
 		w.WriteHeader(http.StatusServiceUnavailable)
-	case r.Method == http.MethodGet && len(path) == 1 && r.URL.Query().Has("watch"):
-		s.watch(w, r, path[0])
-	case r.Method == http.MethodGet && len(path) == 1:
-		s.list(w, path[0])
-	case r.Method == http.MethodGet:
-		s.get(w, path[0], path[1])
+		return
+	}
+	kind, name, named := strings.Cut(strings.TrimPrefix(r.URL.Path, platform.ObjectsPath), "/")
+	switch {
+	case r.Method != http.MethodGet:
+		s.write(w, r, kind, name)
+	case named:
+		s.get(w, kind, name)
 	default:
-		s.write(w, r, path)
+		s.list(w, r, kind)
 	}
 }
 
 func respond(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_, _ = w.Write(encode(v)) // the caller may have left
+	_ = json.NewEncoder(w).Encode(v) // the caller may have left
 }
 
 func (s *store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o := s.objects[kind+"/"+name]
-	if o == nil || o.deleted {
+	o, ok := s.objects[kind+"/"+name]
+	if !ok || o.Deleted {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	respond(w, http.StatusOK, o.wire())
+	respond(w, http.StatusOK, platform.EncodeObject(o))
 }
 
 // since returns the objects of a kind that changed after a revision, oldest first. The caller holds s.mu.
-func (s *store) since(kind string, rev uint64) []*object {
-	var out []*object
+func (s *store) since(kind string, revision uint64, deleted bool) []platform.Object {
+	out := []platform.Object{}
 	for _, o := range s.objects {
-		if o.kind == kind && o.rev > rev {
+		if o.Kind == kind && o.Version.Revision() > revision && (deleted || !o.Deleted) {
 			out = append(out, o)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].rev < out[j].rev })
+	sort.Slice(out, func(i, j int) bool { return out[i].Version < out[j].Version })
 	return out
 }
 
-func (s *store) list(w http.ResponseWriter, kind string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	items := []wireObject{}
-	for _, o := range s.since(kind, 0) {
-		if !o.deleted {
-			items = append(items, o.wire())
-		}
+// list answers a list or a watch. A watch waits for the first change.
+func (s *store) list(w http.ResponseWriter, r *http.Request, kind string) {
+	q, err := platform.ReadListQuery(r.URL.Query().Get)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
 	}
-	respond(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "storeRevision": s.rev})
-}
-
-func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
-	from, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64) // 0 if malformed
-	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
-	limit := time.After(time.Duration(wait) * time.Millisecond)
-	for {
+	limit := time.After(q.Wait)
+	for waited := false; ; {
 		s.mu.Lock()
-		changes, rev, changed, down := s.since(kind, from), s.rev, s.changed, s.down
-		events := make([]map[string]any, 0, len(changes))
-		for _, o := range changes {
-			events = append(events, map[string]any{"object": o.wire(), "deleted": o.deleted})
-		}
+		version := platform.Version(s.revision)
+		changes, changed, down := s.since(kind, q.From.Revision(), q.Watch), s.changed, s.down
 		s.mu.Unlock()
-		if down {
+		switch {
+		case down:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
-		}
-		if len(events) > 0 {
-			respond(w, http.StatusOK, map[string]any{"events": events, "storeRevision": rev})
+		case !q.Watch:
+			respond(w, http.StatusOK, platform.EncodeList(changes, false, version))
+			return
+		case len(changes) > 0 || waited:
+			respond(w, http.StatusOK, platform.EncodeChanges(changes, version))
 			return
 		}
 		select {
@@ -207,43 +155,42 @@
 		case <-r.Context().Done():
 			return
 		case <-limit:
-			respond(w, http.StatusOK, map[string]any{"events": events, "storeRevision": rev})
-			return
+			waited = true
 		}
 	}
 }
 
-// write handles POST, PUT and DELETE with their conditions.
-func (s *store) write(w http.ResponseWriter, r *http.Request, path []string) {
-	var in wireObject
+// write handles the creation, the replacement and the removal of an object with their conditions.
+func (s *store) write(w http.ResponseWriter, r *http.Request, kind, name string) {
+	in, condition := platform.Object{}, platform.ReadCondition(r.URL.Query().Get)
 	if r.Method != http.MethodDelete {
-		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		data, err := io.ReadAll(r.Body)
+		if err == nil {
+			in, err = platform.DecodeObject(kind, data)
+		}
+		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		condition = platform.Condition{Version: in.Version, Any: in.Version == 0}
 	}
-	name, rev := in.Metadata.Name, in.Metadata.Rev
-	if len(path) > 1 {
-		name = path[1]
-	}
-	if stated := r.URL.Query().Get("rev"); stated != "" {
-		rev, _ = strconv.ParseUint(stated, 10, 64) // 0 if malformed
+	if name == "" {
+		name = in.Name
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o := s.objects[path[0]+"/"+name]
-	exists := o != nil && !o.deleted
+	have, exists := s.objects[kind+"/"+name]
+	exists = exists && !have.Deleted
 	switch {
-	case r.Method == http.MethodPost && exists, exists && rev != 0 && rev != o.rev:
-		respond(w, http.StatusConflict, o.wire())
+	case r.Method == http.MethodPost && exists, exists && !condition.Any && condition.Version.Revision() != have.Version.Revision():
+		respond(w, http.StatusConflict, platform.EncodeObject(have))
 	case r.Method != http.MethodPost && !exists:
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method == http.MethodDelete:
-		s.set(path[0], name, o.spec, o.status).deleted = true
+		have.Deleted = true
+		s.set(have)
 		w.WriteHeader(http.StatusOK)
-	case len(path) > 2:
-		respond(w, http.StatusOK, s.set(path[0], name, o.spec, in.Status).wire())
 	default:
-		respond(w, http.StatusOK, s.set(path[0], name, in.Spec, nil).wire())
+		respond(w, http.StatusOK, platform.EncodeObject(s.set(platform.Object{Kind: kind, Name: name, Value: in.Value})))
 	}
 }
--- a/review/rig3/upstream.go
+++ b/review/rig3/upstream.go
@@ -2,13 +2,15 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
+	"net/netip"
+	"strings"
 	"sync"
 	"time"
+
+	"github.com/redwingtally/redwingtally/platform"
 )
 
 // upstream is a stand-in for an upstream. It runs up to slots requests at once, queues as many again, and rejects the others.
@@ -18,7 +20,7 @@
 	slots       chan struct{}
 	queue       chan struct{}
 	listener    net.Listener
-	born        int64
+	born        time.Time
 	runs        *journal
 
 	mu       sync.Mutex
@@ -36,7 +38,7 @@
 	}
 	u := &upstream{
 		id: id, service: service, work: work, slots: make(chan struct{}, slots), queue: make(chan struct{}, 2*slots), listener: ln,
-		born: time.Now().UnixMilli(), runs: runs, conns: map[net.Conn]bool{},
+		born: time.Now(), runs: runs, conns: map[net.Conn]bool{},
 	}
 	go u.accept()
 	go u.beat(s)
@@ -52,13 +54,12 @@
 			return
 		}
 		u.sequence++
-		spec := map[string]any{
-			"address": u.listener.Addr().String(), "born": u.born,
-			"info": map[string]any{"service": u.service, "zone": "leicester", "version": "1", "slots": cap(u.slots)},
-		}
-		status := map[string]any{"state": "ready", "sequence": u.sequence, "warmupLeftMs": 0}
-		if !s.isDown() {
-			s.put("servers", u.id, spec, status)
+		entry, err := platform.EncodeTarget(platform.Target{
+			Name: u.id, StartedAt: u.born, Service: u.service, Address: netip.MustParseAddrPort(u.listener.Addr().String()),
+			DataCentre: "leicester", Slots: cap(u.slots),
+		}, u.sequence)
+		if err == nil && !s.isDown() {
+			s.put(platform.KindTargets, u.id, entry)
 		}
 		u.mu.Unlock()
 		time.Sleep(heartbeat)
@@ -71,7 +72,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.left = true
-	removed := s.remove("servers", u.id)
+	removed := s.remove(platform.KindTargets, u.id)
 	time.AfterFunc(serves, u.end)
 	return removed
 }
@@ -139,26 +140,22 @@
 
 // answer answers one request and reports whether the connection goes on.
 func (u *upstream) answer(c net.Conn, q *http.Request) bool {
-	id := q.Header.Get("X-Redwingtally-Request-Id")
-	if q.URL.Path == "/health" {
-		return u.write(c, "200 OK", "X-Redwingtally-Instance-Id: "+u.id+"\r\n", "")
+	meta := platform.ReadRequestMeta(q.Header)
+	if q.URL.Path == healthPath {
+		return u.write(c, http.StatusOK, platform.ResponseMeta{Signed: true}, "")
 	}
-	if expected := q.Header.Get("X-Redwingtally-Expect-Instance"); expected != "" && expected != u.id {
-		return u.write(c, "421 Misdirected Request", "X-Redwingtally-Instance-Id: "+u.id+"\r\n", "")
+	if expected := platform.ExpectedTarget(q.Header); expected != "" && expected != u.id {
+		return u.write(c, http.StatusMisdirectedRequest, platform.ResponseMeta{}, "")
 	}
 	u.mu.Lock()
 	u.arrivals = append(u.arrivals, time.Now())
 	u.mu.Unlock()
-	echo := "X-Redwingtally-Request-Id: " + id + "\r\n"
-	rejected := echo + "X-Redwingtally-Not-Executed: 1\r\n"
-	deadline := time.Now().Add(10 * time.Second)
-	if ms, err := strconv.Atoi(q.Header.Get("X-Redwingtally-Deadline-Ms")); err == nil {
-		deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
-	}
+	rejected := platform.ResponseMeta{ID: meta.ID, NotExecuted: true}
+	deadline := time.Now().Add(meta.Timeout)
 	select {
 	case u.queue <- struct{}{}:
 	default:
-		return u.write(c, "503 Service Unavailable", rejected, "full\n")
+		return u.write(c, http.StatusServiceUnavailable, rejected, "full\n")
 	}
 	late := time.NewTimer(time.Until(deadline))
 	defer late.Stop()
@@ -167,21 +164,29 @@
 		<-u.queue
 	case <-late.C:
 		<-u.queue
-		return u.write(c, "503 Service Unavailable", rejected, "late\n")
+		return u.write(c, http.StatusServiceUnavailable, rejected, "late\n")
 	}
 	defer func() { <-u.slots }()
-	u.runs.add(id, u.id)
+	u.runs.add(meta.ID, u.id)
 	time.Sleep(u.work)
+	signed := platform.ResponseMeta{ID: meta.ID, Signed: true}
 	if time.Now().After(deadline) {
-		return u.write(c, "504 Gateway Timeout", echo+"X-Redwingtally-Server-Stamp: "+u.id+"."+id+"\r\n", "late\n")
+		return u.write(c, http.StatusGatewayTimeout, signed, "late\n")
 	}
-	return u.write(c, "200 OK", echo+"X-Redwingtally-Server-Stamp: "+u.id+"."+id+"\r\n", "answer to "+id+"\n")
+	return u.write(c, http.StatusOK, signed, "answer to "+meta.ID+"\n")
 }
 
+// healthPath is the path of the health check.
+const healthPath = "/health"
+
 // write sends a response and reports whether that succeeded.
-func (u *upstream) write(c net.Conn, status, headers, body string) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
-	return err == nil
+func (u *upstream) write(c net.Conn, status int, meta platform.ResponseMeta, body string) bool {
+	h := http.Header{"Keep-Alive": {"timeout=10"}}
+	platform.SetResponseMeta(h, u.id, meta)
+	resp := http.Response{
+		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: h, ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
+	}
+	return resp.Write(c) == nil
 }
 
 // journal records which upstreams ran which request.
