Log which hosts make a takeover from a copy end its wait

The log gave numbers of hosts only, so that it could not tell whether the earlier coordinator was among those that follow or another host in its place.

--- a/coordination/restored.go
+++ b/coordination/restored.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -188,12 +190,21 @@
 			"coordinator", best.Coordinator, "term", best.Term, "fence", best.Fence)
 		return takeover{document: ownership.AfterRestore(best, era), stopped: best.OwnersFenced, answers: answers, term: best.Term}
 	}
-	m.options.Log.Warn("coordination: Store was restored from a copy; owners of keys are unknown until earlier grants have ended.", "era", era, "known_term", term)
+	m.options.Log.Warn("coordination: Store was restored from a copy; owners of keys are unknown until earlier grants have ended.", "era", era, "known_term", term,
+		"copy_names", coordinatorOf(old), "answered", slices.Sorted(maps.Keys(answers)))
 	d := ownership.AfterRestore(old, era)
 	d.Term = max(d.Term, term+1)
 	return takeover{document: d, answers: answers}
 }
 
+// coordinatorOf returns the process that a document names, or "" if there is none.
+func coordinatorOf(d *ownership.Document) string {
+	if d == nil {
+		return ""
+	}
+	return d.Coordinator
+}
+
 // askNewest asks the host at an address for the newest document that it knows.
 func (m *Member) askNewest(ctx context.Context, address netip.AddrPort) (*NewestResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, newestTimeout)
@@ -240,7 +251,8 @@
 	l.ownersSettled = true
 	newest := l.takenOverTerm > 0 && known <= l.takenOverTerm
 	l.core.UnknownCoordinatorsStopped(t, newest)
-	l.member.options.Log.Info("coordination: All hosts follow.", "hosts", len(names), "known_term", known, "document_is_newest", newest)
+	l.member.options.Log.Info("coordination: All hosts follow.", "hosts", slices.Sorted(maps.Keys(names)), "hosts_before", max(l.expectedHosts, l.hostsBefore),
+		"known_term", known, "document_is_newest", newest)
 }
 
 // leadingDocument returns the document of the term, without services, while orders may be sent.
