Go on with the coordinator's own reports after its lease has expired

Cause: ownReportLoop returned at its first error, and reports get none but ErrNotCoordinator while the lease is expired. When the store confirms the same process again its term goes on without the reports of its own host. The last one had said that the store was unavailable, and only a later reply takes that back. The view, the rates, the number of hosts and the relays of the host stay as they were too, and the coordinator lacks the loads of keys and the crashes of its own host.

The loop now goes on until the term ends. Lines of log tell when the lease has expired and when the process is confirmed again; the new metric coordination_state_age_seconds shows on each host, whatever the reason, how old the state is that a coordinator's reply last updated.

--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -152,7 +152,8 @@
 	lastLed             *ownership.Document // of this process's last term; nil if it has not coordinated
 	knownTerm           uint64              // highest term of a coordinator that this host followed before the present one
 	candidates          knownCandidates
-	withdrawn           bool // this process sends no orders any more
+	withdrawn           bool      // this process sends no orders any more
+	repliedAt           time.Time // when the state was last updated by a reply
 }
 
 // A State is the content of the coordinator's latest reply. Until a coordinator
@@ -187,6 +188,26 @@
 // State returns the state last received from the coordinator.
 func (m *Member) State() *State { return m.state.Load() }
 
+// StateAge returns the time since a coordinator's reply last updated the state, or since Run began if none has. It exceeds a few
+// seconds only while no coordinator replies to this host.
+func (m *Member) StateAge() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := later(m.repliedAt, m.startedAt)
+	if at.IsZero() {
+		return 0
+	}
+	return now().Sub(at)
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Leading reports whether this process is the coordinator.
 func (m *Member) Leading() bool { return m.currentLeader() != nil }
 
@@ -257,7 +278,9 @@
 
 // Run follows the coordinator, or coordinates, until ctx ends.
 func (m *Member) Run(ctx context.Context) {
+	m.mu.Lock()
 	m.startedAt = now()
+	m.mu.Unlock()
 	m.awaitPreload(ctx)
 	read := m.readFirstDocument
 	for waited := false; ctx.Err() == nil; {
--- a/coordination/follower.go
+++ b/coordination/follower.go
@@ -294,6 +294,7 @@
 	m.mu.Lock()
 	m.coordinatorVersions = r.FeedVersions
 	m.applyCandidates(d.Term, r)
+	m.repliedAt = now()
 	m.mu.Unlock()
 	m.options.SetStoreUnavailable(r.StoreUnavailable)
 	changes := m.options.Feed.Merge(r.Feed)
--- a/coordination/leader_test.go
+++ b/coordination/leader_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,6 +82,50 @@
 	c.Check(err, qt.ErrorIs, ErrNotCoordinator)
 }
 
+// A coordinator whose lease has expired, and which the store confirms again, goes on with the reports of its own host: without
+// them a lone host kept the state of the outage for the rest of its life.
+func TestOwnReportsGoOnAfterTheLeaseExpired(t *testing.T) {
+	for _, n := range []int{1, 3} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			c := qt.New(t)
+			var rate atomic.Int64
+			var unavailable, unreachable atomic.Bool
+			hosts := startHosts(t, n, func(o *Options) {
+				o.CollectReport = func() Report { return Report{Rates: map[string]float64{"stock": float64(rate.Load())}} }
+				o.StoreUnreachable, o.SetStoreUnavailable = unreachable.Load, unavailable.Store
+			})
+			earlier := leaders(hosts)[0]
+			unreachable.Store(true)
+			for _, h := range hosts {
+				h.store.Store(platform.NewClient(ports.Free(t)))
+			}
+			waitFor(t, "the store is known to be unavailable", unavailable.Load)
+			l := earlier.currentLeader()
+			l.mu.Lock()
+			l.confirmedAt = now().Add(-LeaseTime)
+			l.notifyLocked()
+			l.mu.Unlock()
+			time.Sleep(maxReportWait) // several reports of the coordinator's own host get no reply
+			c.Assert(earlier.currentLeader(), qt.Equals, l)
+			c.Check(earlier.StateAge() >= maxReportWait/2, qt.IsTrue, qt.Commentf("%s", earlier.StateAge()))
+			rate.Store(7)
+			unreachable.Store(false)
+			for _, h := range hosts {
+				h.reachStore()
+			}
+			waitFor(t, "replies reach all hosts", func() bool {
+				for _, h := range hosts {
+					if h.State().Rates["stock"] != float64(7*n) {
+						return false
+					}
+				}
+				return !unavailable.Load()
+			})
+			waitFor(t, "sound state", func() bool { return earlier.StateAge() < maxReportWait })
+		})
+	}
+}
+
 // attachStore connects a leader to a new store that holds a document written by it.
 func attachStore(t *testing.T, l *leader) *platform.Client {
 	p, err := standin.StartPlatform(netip.MustParseAddrPort("127.0.0.1:0"), standin.PlatformOptions{Era: 1})
--- a/coordination/reports.go
+++ b/coordination/reports.go
@@ -8,15 +8,26 @@
 	"github.com/redwingtally/redwingtally/ownership"
 )
 
-// ownReportLoop processes the reports of the leader's own host.
+// ownReportLoop processes the reports of the leader's own host until ctx ends. They get no reply while the lease has expired, from
+// which the store may still confirm the leader again.
 func (l *leader) ownReportLoop(ctx context.Context) {
+	replied := true
 	for ctx.Err() == nil {
 		r := l.member.ownReport(l.member.reportWait())
 		r.KnownRateLimits = l.rateLimitsVersion()
 		reply, err := l.sync(ctx, &r)
-		if err != nil {
+		if ctx.Err() != nil {
 			return
 		}
+		if (err == nil) != replied {
+			replied = err == nil
+			l.logReplied(replied)
+		}
+		if err != nil {
+			l.member.options.SetStoreUnavailable(l.member.options.StoreUnreachable())
+			sleep(ctx, retryInterval)
+			continue
+		}
 		l.mu.Lock()
 		d := l.core.Document()
 		l.mu.Unlock()
@@ -24,6 +35,16 @@
 	}
 }
 
+// logReplied logs whether the reports of the leader's own host get replies.
+func (l *leader) logReplied(replied bool) {
+	log, age := l.member.options.Log, l.confirmationAge()
+	if replied {
+		log.Info("coordination: Store has confirmed this process again; its own reports are answered.", "age", age)
+		return
+	}
+	log.Warn("coordination: Lease has expired; reports get no reply until the store confirms this process.", "age", age)
+}
+
 // reportNow processes a report of the leader's own host and wakes the waiting reports.
 func (l *leader) reportNow(ctx context.Context) {
 	r := l.member.ownReport(0)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -172,6 +172,8 @@
 		CutOff:         e.cutOff,
 		AcceptsRelayed: e.acceptsRelayed,
 	})
+	e.metrics.RegisterGauge("coordination_state_age_seconds", "Time since a coordinator's reply last updated this host's state.",
+		func() float64 { return e.member.StateAge().Seconds() })
 	return e, e.registerServices()
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -151,6 +151,11 @@
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
 }
 
+// RegisterGauge adds a gauge without labels, whose value is read from f at each collection.
+func (s *Set) RegisterGauge(name, help string, f func() float64) {
+	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
+}
+
 const namespace = "redwingtally"
 
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
