Let a coordinator without a lease answer with its document after a restore

Cause, besides the host that had left and that the wait no longer counts: between the end of its lease and its next read of the store the earlier coordinator neither coordinates nor has led, and answered the process that took over with nothing. In a play with logs one host that asked then took the owners as unknown, another one that asked later got them.

Asked in a later era, a coordinator whose lease has expired now ends its term and answers with its last document, which names all owners. The store would not have confirmed the term in that era.

--- a/coordination/candidates_test.go
+++ b/coordination/candidates_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/redwingtally/redwingtally/internal/ports"
 	"github.com/redwingtally/redwingtally/ownership"
 	"github.com/redwingtally/redwingtally/platform"
 )
@@ -160,6 +161,41 @@
 	c.Check(latest == 4 && sure, qt.IsTrue)
 }
 
+// A coordinator whose lease has expired knows all owners. Asked in a later era it ends its term and says so; before, no key had an
+// owner for 13 s after an outage with a restore, as it said nothing until it had read the store itself.
+func TestExpiredCoordinatorAnswersWithItsDocument(t *testing.T) {
+	tests := []struct {
+		name    string
+		expired bool
+		era     uint64
+		led     bool
+	}{
+		{"lease is valid", false, 2, false},
+		{"lease has expired", true, 2, true},
+		{"the store was not restored", true, 1, false},
+		{"an earlier build asks", true, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			h := startHosts(t, 1)[0]
+			h.store.Store(platform.NewClient(ports.Free(t)))
+			l := h.currentLeader()
+			l.mu.Lock()
+			if test.expired {
+				l.confirmedAt = now().Add(-LeaseTime)
+			}
+			own := l.core.Document().Term
+			l.mu.Unlock()
+			r := h.newest(test.era)
+			c.Check(r.Leading != nil, qt.Equals, !test.expired)
+			c.Check(r.Led != nil && r.Led.Term == own, qt.Equals, test.led)
+			c.Check(r.Stopped, qt.Equals, test.led)
+			c.Check(l.hasEnded(), qt.Equals, test.led)
+		})
+	}
+}
+
 // A host that is asked in a later era than its document's promises to send no orders of earlier ones, unless it coordinates.
 func TestOnlyStoppedHostsSaySo(t *testing.T) {
 	c := qt.New(t)
--- a/coordination/restored.go
+++ b/coordination/restored.go
@@ -71,17 +71,25 @@
 	}, connect.WithCodec(codec{}))
 }
 
-// newest returns what this host knows of coordinators. If this process does not coordinate, a takeover in an era before the given
-// one that is still in progress does not begin a term.
+// newest returns what this host knows of coordinators. A term of an era before the given one ends if its lease has expired, and none
+// begins by a takeover that is still in progress: the store cannot confirm it any more, and its document names all owners.
 func (m *Member) newest(era uint64) *NewestResponse {
+	l := m.currentLeader()
+	var led *ownership.Document
+	if l != nil {
+		led = l.endWithoutLease(era)
+	}
 	m.mu.Lock()
-	out, l := &NewestResponse{Host: m.options.Host, Led: m.lastLed, Followed: m.followed}, m.leader
-	if l == nil && era > platform.FirstEra {
+	out := &NewestResponse{Host: m.options.Host, Led: m.lastLed, Followed: m.followed}
+	if led != nil {
+		out.Led = led
+	}
+	if era > platform.FirstEra && (m.leader == nil || led != nil && m.leader == l) {
 		m.yieldTerm = max(m.yieldTerm, ownership.FirstTerm(era))
 		out.Stopped = true
 	}
 	m.mu.Unlock()
-	if l != nil {
+	if l != nil && led == nil {
 		out.Leading = l.leadingDocument()
 	}
 	return out
@@ -291,6 +299,20 @@
 	return &ownership.Document{Coordinator: d.Coordinator, Address: d.Address, Term: d.Term, Services: map[string][]ownership.Range{}}
 }
 
+// endWithoutLease ends the term if its lease has expired and the store was restored since its last write, in the given era or before.
+// It returns the last document then, and nil otherwise.
+func (l *leader) endWithoutLease(era uint64) *ownership.Document {
+	l.mu.Lock()
+	if l.holdsLeaseLocked() || l.version.Era() >= era {
+		l.mu.Unlock()
+		return nil
+	}
+	l.endLocked()
+	l.mu.Unlock()
+	l.member.options.Log.Info("coordination: Term ends; the store was restored and the lease has expired.", "era", era)
+	return l.lastDocument()
+}
+
 // lastDocument returns the document of the term after its end, with the highest fencing token that it has reserved.
 func (l *leader) lastDocument() *ownership.Document {
 	l.mu.Lock()
