Accept connections again after errors of the network

Callers, or other hosts, would get no new connection from a process that goes on and says that it is ready.

Listeners of the servers for callers, relayed requests, control, metrics and readiness report such errors as temporary, so that net/http tries again after 5 ms to 1 s.

TestServersSurviveErrorsOfAccept: ENOBUFS, EPROTO and ENETDOWN failed before.

--- a/edge/connserver.go
+++ b/edge/connserver.go
@@ -74,7 +74,7 @@
 	if s.limits.requests > 0 {
 		go func() { _ = s.server.Serve(s.aheadConns) }() // returns only when the server is closed
 	}
-	if err := s.server.Serve(trackingListener{s.listener, s}); err != nil && !errors.Is(err, net.ErrClosed) {
+	if err := s.server.Serve(trackingListener{lastingListener{s.listener}, s}); err != nil && !errors.Is(err, net.ErrClosed) {
 		s.log.Error(s.part+": Server failed.", "error", err.Error())
 	}
 }
--- a/edge/control.go
+++ b/edge/control.go
@@ -70,7 +70,7 @@
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: internalHeaderTimeout, ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelDebug)}
 	go func() {
-		if err := srv.Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) {
+		if err := srv.Serve(lastingListener{ln}); err != nil && !errors.Is(err, net.ErrClosed) {
 			e.log.Error("edge: Internal server failed.", "server", name, "error", err.Error())
 		}
 	}()
--- a/internal/mutation/guards_test.go
+++ b/internal/mutation/guards_test.go
@@ -308,6 +308,7 @@
 	{"co-withdrawn-yields", "coordination/candidates.go", "m.yieldTerm, m.withdrawn = math.MaxUint64, true", "m.yieldTerm, m.withdrawn = m.yieldTerm&math.MaxUint64, true", "./coordination -run ^TestYieldedTerm"},
 	{"co-own-reports", "coordination/reports.go", "\t\t\tsleep(ctx, retryInterval)\n\t\t\tcontinue", "\t\t\treturn", "./coordination -run ^TestOwnReports"},
 	{"co-state-age", "coordination/follower.go", "m.repliedAt = now()", "_ = now()", "./coordination -run ^TestOwnReports"},
+	{"ed-accept", "edge/listener.go", "return nil, temporaryError{err}", "return nil, err", "./edge -run ^TestServersSurvive"},
 	{"co-restored-known", "coordination/restored.go", "if r.knownTerm > term {", "if false {", "./coordination"},
 	{"co-restored-lease", "coordination/restored.go", "if era <= platform.FirstEra || written || !l.holdsLeaseLocked() {", "if era <= platform.FirstEra || written {", "./coordination"},
 	{"co-restored-first", "coordination/restored.go", "written := have != nil && have.Era >= era && have.Coordinator != l.process", "written := false", "./coordination"},
