--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -98,6 +98,13 @@
 		s.limitRate(tg, duration+limitSettleTime+limitWindow)
 	}},
 	{"restore the store", func(s *system, _ *daemon, _ *target, duration time.Duration) { s.restoreStore(2 * duration) }},
+	{"restore the store while a daemon is cut off from it", func(s *system, d *daemon, _ *target, duration time.Duration) {
+		d.storeProxy.setMode(stallAll)
+		wait(duration / 4)
+		s.restoreStore(2 * duration)
+		wait(duration)
+		d.storeProxy.setMode(passThrough)
+	}},
 	{"drain a target", func(s *system, _ *daemon, tg *target, _ time.Duration) {
 		s.addTarget(tg.service)
 		tg.Drain()
