--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -362,7 +362,7 @@
 	requests := h.leavingCallers(drainTime, 20*time.Millisecond, call{path: "/write/1", key: key(k)})
 	for _, x := range requests {
 		took := x.answered.Sub(x.sentAt)
-		c.Check(x.status == http.StatusOK && took <= 300*time.Millisecond, qt.IsTrue, qt.Commentf("status %d after %s", x.status, took)) // the route's objective
+		c.Check(x.status == http.StatusOK && took <= 300*time.Millisecond, qt.IsTrue, qt.Commentf("status %d after %s: %s", x.status, took, x.body)) // the route's objective
 	}
 	c.Check(lateArrivals(requests, owner), qt.HasLen, 0)
 	_, holds := other.Holds(k)
