Say in comments when a census is complete and needed

A reader could not tell from them what keeps a census from being complete, what AddList does without hosts, or when a takeover needs the census.

--- a/coordination/candidates.go
+++ b/coordination/candidates.go
@@ -263,8 +263,8 @@
 }
 
 // predecessors returns a census of the processes that may have coordinated before this one takes over, and the candidates at the
-// begin of its term. The census is of use if this process takes over from a copy of the store, or from a process that has and has
-// not settled. old is the document in the store.
+// begin of its term. The census is needed if this process takes over from a copy of the store, or from a process that did so and whose
+// document is still incomplete. old is the document in the store.
 func (m *Member) predecessors(old *ownership.Document, start takeover) (*ownership.Census, *candidates) {
 	m.mu.Lock()
 	known := m.candidates
--- a/coordination/candidates_test.go
+++ b/coordination/candidates_test.go
@@ -136,8 +136,8 @@
 	c.Check(l.census.Complete(), qt.IsFalse)
 }
 
-// Hosts that join after a restore do not count for the majority that has to follow a coordinator which goes on, and a host that has
-// restarted may have been a coordinator of whom nobody knows.
+// A coordinator that goes on after a restore needs reports of the hosts of before; hosts that have joined since do not count. A host
+// that has restarted knows no earlier term, although its process before may have coordinated.
 func TestHostsThatJoinAfterARestore(t *testing.T) {
 	c := qt.New(t)
 	l := newTestLeader()
--- a/ownership/census.go
+++ b/ownership/census.go
@@ -59,7 +59,7 @@
 	return known
 }
 
-// AddList adds the hosts of a list of candidates that a host reports.
+// AddList adds the hosts of a list of candidates that a host reports. Without hosts, it records that the list is not needed.
 func (c *Census) AddList(version uint64, hosts []string) {
 	c.lists[version] = true
 	c.expect(hosts)
@@ -83,7 +83,8 @@
 	return out
 }
 
-// Complete reports whether all processes that may have coordinated are accounted for. It is false if nobody has listed them.
+// Complete reports whether all processes that may have coordinated are accounted for. It is false while no coordinator's list of
+// candidates is known, while a host lists candidates that are not expected yet, and if the coordinator of a known term is not.
 func (c *Census) Complete() bool {
 	if !c.listed || c.unidentified > c.identified {
 		return false
